Add the design, the package skeleton and the interfaces

Cause: the repository is empty. Ruled out: a leader-granted ownership lease and a quorum write per placement, see docs/design.md section 5. Change: design page, base package, public headers of consensus, storage, settings, placement, routing and http, build, lint and test scripts. Before: nothing. After: tools/lint.sh is clean, 2 tests of base pass, also under the address and undefined-behaviour sanitizers. Conclusion: packages can be written against these interfaces.

--- /dev/null
+++ b/packages/base/src/EventLog.cpp
@@ -0,0 +1,119 @@
+#include "banyanrill/base/EventLog.h"
+
+#include <array>
+#include <cassert>
+#include <cstdio>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace banyanrill::base {
+
+namespace {
+
+constexpr std::array<EventDefinition, 22> Catalogue = {{
+    {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
+    {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
+    {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
+    {1004, Severity::Error, "settings_file_rejected", "The settings file breaks a rule."},
+    {2001, Severity::Info, "became_leader", "This replica was elected leader."},
+    {2002, Severity::Info, "lost_leadership", "This replica is no longer the leader."},
+    {2003, Severity::Error, "storage_failed", "A write or sync failed; the replica stops."},
+    {2004, Severity::Warning, "log_tail_repaired", "An incomplete record was cut off the log."},
+    {3001, Severity::Info, "owner_assigned", "The leader named the owner of a worker."},
+    {3002, Severity::Info, "worker_adopted", "This daemon is now the owner of a worker."},
+    {3003, Severity::Warning, "worker_grant_expired", "A worker stopped polling its owner."},
+    {3004, Severity::Warning, "worker_lost", "The tasks of a silent worker are given up."},
+    {3101, Severity::Info, "upstream_announced", "A new upstream instance announced itself."},
+    {3102, Severity::Info, "upstream_left", "An upstream instance left or fell silent."},
+    {3201, Severity::Info, "job_accepted", "A job was accepted."},
+    {3202, Severity::Info, "job_ended", "A job ended, with the reason."},
+    {3203, Severity::Debug, "task_started", "A worker confirmed the start of a task."},
+    {3204, Severity::Debug, "task_ended", "A task ended, with its outcome."},
+    {4001, Severity::Info, "setting_changed", "A change of settings was applied."},
+    {5001, Severity::Info, "request_refused", "A caller's request was refused, with the verdict."},
+    {6001, Severity::Error, "http_loop_failed", "The HTTP server could not start or failed."},
+    {6002, Severity::Warning, "peer_message_rejected", "A message from a peer was not valid."},
+}};
+
+log4cxx::LoggerPtr logger() {
+  static const log4cxx::LoggerPtr Instance = log4cxx::Logger::getLogger("banyanrill");
+  return Instance;
+}
+
+log4cxx::LevelPtr levelOf(Severity severity) {
+  switch (severity) {
+  case Severity::Debug:
+    return log4cxx::Level::getDebug();
+  case Severity::Info:
+    return log4cxx::Level::getInfo();
+  case Severity::Warning:
+    return log4cxx::Level::getWarn();
+  case Severity::Error:
+    return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getError();
+}
+
+void appendQuoted(std::string &out, std::string_view text) {
+  out += '"';
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+      continue;
+    }
+    if (static_cast<unsigned char>(c) < 0x20) {
+      std::array<char, 8> escaped{};
+      std::snprintf(escaped.data(), escaped.size(), "\\u%04x", static_cast<unsigned>(c));
+      out += escaped.data();
+      continue;
+    }
+    out += c;
+  }
+  out += '"';
+}
+
+const EventDefinition &definitionOf(Event event) {
+  for (const EventDefinition &definition : Catalogue) {
+    if (definition.number == static_cast<std::uint32_t>(event))
+      return definition;
+  }
+  assert(false && "event is missing from the catalogue");
+  return Catalogue.front();
+}
+
+} // namespace
+
+std::span<const EventDefinition> eventCatalogue() { return Catalogue; }
+
+void initializeEventLog(std::string_view daemonName, Severity minimum) {
+  std::string pattern = "{\"time\":\"%d{ISO8601}\",\"daemon\":";
+  appendQuoted(pattern, daemonName);
+  pattern += ",%m}%n";
+  auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+  auto appender =
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+  logger()->setAdditivity(false);
+  logger()->removeAllAppenders();
+  logger()->addAppender(appender);
+  logger()->setLevel(levelOf(minimum));
+}
+
+void logEvent(Event event, std::initializer_list<EventField> fields) {
+  const EventDefinition &definition = definitionOf(event);
+  const log4cxx::LevelPtr level = levelOf(definition.severity);
+  if (!logger()->isEnabledFor(level))
+    return;
+  std::string line = "\"event\":" + std::to_string(definition.number) + ",\"name\":";
+  appendQuoted(line, definition.name);
+  for (const EventField &field : fields) {
+    line += ',';
+    appendQuoted(line, field.key);
+    line += ':';
+    appendQuoted(line, field.value);
+  }
+  logger()->log(level, line);
+}
+
+} // namespace banyanrill::base
--- /dev/null
+++ b/packages/placement/include/banyanrill/placement/Ledger.h
@@ -0,0 +1,44 @@
+// Exact account of one worker's capacity, kept by its owner for tasks and requests alike.
+#pragma once
+
+#include "banyanrill/base/Resources.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace banyanrill::placement {
+
+/// Reservations by holder. A reservation stands from before the start is sent until the stop is
+/// confirmed, so starts and stops in flight are counted. Not thread-safe.
+class Ledger {
+public:
+  explicit Ledger(base::Resources capacity);
+
+  /// Reserves for a new holder. Returns false, and changes nothing, if it does not fit or the
+  /// holder has a reservation already. Precondition: `demand.isValid()`.
+  bool reserve(const std::string &holder, const base::Resources &demand);
+
+  /// Records what a worker is already running, even beyond its capacity: an inventory is a fact.
+  void adopt(const std::string &holder, const base::Resources &demand);
+
+  /// Returns false if the holder has no reservation.
+  bool release(const std::string &holder);
+
+  /// A worker may come back smaller; `free()` is then negative until enough is released.
+  void setCapacity(base::Resources value);
+
+  std::optional<base::Resources> reservation(const std::string &holder) const;
+  base::Resources capacity() const;
+  base::Resources used() const;
+  base::Resources free() const;
+  std::size_t holders() const;
+
+private:
+  base::Resources total;
+  base::Resources taken;
+  std::unordered_map<std::string, base::Resources> reservations;
+};
+
+} // namespace banyanrill::placement
--- /dev/null
+++ b/tools/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds into the folder given as $1 (default: build); further arguments go to CMake.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+folder=${1:-build}
+shift || true
+cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
+cmake --build "$folder"
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/setup.sh
+tools/build.sh "${BANYANRILL_BUILD:-build}" "$@"
+ctest --test-dir "${BANYANRILL_BUILD:-build}" --output-on-failure
