Add the control state, the wire protocol and the daemon's core

Cause: the packages below have no program that uses them. Ruled out: one thread for decisions and disk (a sync would delay every request). Change: replicated control state, messages with their MessagePack encoding, and the daemon as a core without I/O with tasks for HTTP, peers and storage. Before: no daemon. After: the files compile; nothing of them has been run yet.

--- /dev/null
+++ b/packages/daemon/include/banyanrill/daemon/PeerTask.h
@@ -0,0 +1,35 @@
+// The task that owns the sockets between daemons, over nng.
+#pragma once
+
+#include "banyanrill/base/Error.h"
+#include "banyanrill/daemon/Action.h"
+
+#include <functional>
+#include <memory>
+
+namespace banyanrill::daemon {
+
+/// Owns one listening socket, one sending socket for each peer, and a thread that receives.
+class PeerTask {
+public:
+  /// \param receive called on the task's thread with each valid message.
+  /// Errors: Unavailable if the address cannot be used.
+  static base::Result<std::unique_ptr<PeerTask>> start(const Config &config,
+                                                       std::uint64_t incarnation,
+                                                       std::function<void(wire::Envelope)> receive);
+  ~PeerTask();
+
+  /// Queues a message; drops it if the peer's queue is full. Thread-safe.
+  void send(base::DaemonId to, wire::Body body);
+
+  /// Bytes of encoded messages so far, without the transport's own.
+  std::uint64_t bytesSent() const;
+  std::uint64_t bytesReceived() const;
+
+private:
+  struct State;
+  explicit PeerTask(std::unique_ptr<State> state);
+  std::unique_ptr<State> state;
+};
+
+} // namespace banyanrill::daemon
--- /dev/null
+++ b/packages/daemon/include/banyanrill/daemon/StorageTask.h
@@ -0,0 +1,39 @@
+// The task that owns a replica's data folder, so that the core never waits for a disk.
+#pragma once
+
+#include "banyanrill/base/Mailbox.h"
+#include "banyanrill/daemon/Action.h"
+#include "banyanrill/storage/LogStore.h"
+
+#include <functional>
+#include <thread>
+
+namespace banyanrill::daemon {
+
+/// Errors: those of `storage::LogStore`; NotFound becomes a new folder on the first start. The
+/// state is what a replica needs to start.
+base::Result<storage::LogStore> openDataFolder(const Config &config,
+                                               consensus::StoredState &stored);
+
+/// Owns the folder and a thread. `post` is thread-safe.
+class StorageTask {
+public:
+  /// \param report called on the task's thread with `StorageDone` or `StorageFailed`.
+  StorageTask(storage::LogStore store, std::function<void(CoreEvent)> report);
+
+  /// Writes what was posted, then ends the thread.
+  ~StorageTask();
+
+  void post(StoreBatch batch);
+
+private:
+  void run();
+  bool write(std::vector<StoreBatch> batches);
+
+  storage::LogStore store;
+  std::function<void(CoreEvent)> report;
+  base::Mailbox<std::optional<StoreBatch>> mailbox;
+  std::thread thread;
+};
+
+} // namespace banyanrill::daemon
--- /dev/null
+++ b/packages/daemon/src/Main.cpp
@@ -0,0 +1,56 @@
+// Entry point of the daemon.
+#include "banyanrill/daemon/Config.h"
+#include "banyanrill/daemon/Runtime.h"
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <string>
+
+namespace {
+
+constexpr int ExitSettingsRejected = 2;
+constexpr int ExitFailed = 1;
+constexpr int ExitInterrupted = 130;
+
+std::atomic<bool> StopRequested{false};
+
+/// The first signal starts a graceful stop, a second one ends the process at once.
+void onSignal(int) {
+  if (StopRequested.exchange(true))
+    std::_Exit(ExitInterrupted);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app{"Daemon of the banyanrill cluster scheduler", "banyanrilld"};
+  std::string settingsFile;
+  bool checkOnly = false;
+  app.add_option("settings", settingsFile, "Settings file in JSON")->required();
+  app.add_flag("--check", checkOnly, "Check the settings file and exit");
+  app.set_version_flag("--version", BANYANRILL_VERSION);
+  CLI11_PARSE(app, argc, argv);
+
+  const auto config = banyanrill::daemon::readConfig(settingsFile);
+  if (!config) {
+    std::fprintf(stderr, "banyanrilld: %s: %s: %s\n", settingsFile.c_str(),
+                 config.error().path.c_str(), config.error().message.c_str());
+    return ExitSettingsRejected;
+  }
+  if (checkOnly)
+    return 0;
+  banyanrill::base::initializeEventLog(
+      config.value().cell + "-" + std::to_string(config.value().daemon), config.value().logLevel);
+  std::signal(SIGTERM, onSignal);
+  std::signal(SIGINT, onSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+  const banyanrill::base::Status status =
+      banyanrill::daemon::runDaemon(config.value(), StopRequested);
+  if (status)
+    return 0;
+  std::fprintf(stderr, "banyanrilld: %s: %s\n", status.error().path.c_str(),
+               status.error().message.c_str());
+  return ExitFailed;
+}
--- /dev/null
+++ b/packages/daemon/src/StorageTask.cpp
@@ -0,0 +1,134 @@
+#include "banyanrill/daemon/StorageTask.h"
+
+#include "banyanrill/wire/Codec.h"
+
+#include <iterator>
+
+namespace banyanrill::daemon {
+
+namespace {
+
+/// The replica bounds its uncommitted entries far below this.
+constexpr std::size_t MailboxCapacity = 65536;
+
+storage::StoredEntry toStored(consensus::Entry entry) {
+  return {entry.index, entry.term, static_cast<std::uint8_t>(entry.kind), std::move(entry.payload)};
+}
+
+consensus::Entry fromStored(storage::StoredEntry entry) {
+  return {entry.index, entry.term, static_cast<consensus::EntryKind>(entry.kind),
+          std::move(entry.payload)};
+}
+
+/// Whether `next` only adds to `batch`, so that one write and one sync serve both.
+bool canMerge(const StoreBatch &batch, const StoreBatch &next) {
+  if (batch.snapshot || next.snapshot)
+    return false;
+  return batch.entries.empty() || next.entries.empty() ||
+         next.entries.front().index == batch.entries.back().index + 1;
+}
+
+void merge(StoreBatch &batch, StoreBatch next) {
+  if (next.hardState)
+    batch.hardState = next.hardState;
+  batch.entries.insert(batch.entries.end(), std::make_move_iterator(next.entries.begin()),
+                       std::make_move_iterator(next.entries.end()));
+  batch.index = next.index;
+  batch.term = next.term;
+}
+
+storage::Batch toStorage(StoreBatch batch) {
+  storage::Batch stored;
+  if (batch.hardState)
+    stored.hardState = {batch.hardState->term, batch.hardState->votedFor};
+  if (batch.snapshot)
+    stored.snapshot = {batch.snapshot->index, batch.snapshot->term, wire::encode(*batch.snapshot)};
+  for (consensus::Entry &entry : batch.entries)
+    stored.entries.push_back(toStored(std::move(entry)));
+  return stored;
+}
+
+} // namespace
+
+base::Result<storage::LogStore> openDataFolder(const Config &config,
+                                               consensus::StoredState &stored) {
+  storage::RecoveredState recovered;
+  base::Result<storage::LogStore> store = storage::LogStore::open(config.dataFolder, recovered);
+  const bool isNew = !store && store.error().code == base::Errc::NotFound;
+  if (isNew) {
+    const auto created = storage::LogStore::create(config.dataFolder, config.daemon);
+    if (!created)
+      return created.error();
+    store = storage::LogStore::open(config.dataFolder, recovered);
+  }
+  if (!store)
+    return store;
+  if (recovered.identity.replica != config.daemon)
+    return base::Error{base::Errc::DataCorrupted, config.dataFolder,
+                       "the folder belongs to daemon " +
+                           std::to_string(recovered.identity.replica)};
+  if (recovered.repairedBytes > 0)
+    base::logEvent(base::Event::LogTailRepaired,
+                   {{"bytes", std::to_string(recovered.repairedBytes)}});
+  stored.hardState = {recovered.hardState.term, recovered.hardState.votedFor};
+  if (recovered.snapshot) {
+    base::Result<consensus::Snapshot> snapshot = wire::decodeSnapshot(recovered.snapshot->data);
+    if (!snapshot)
+      return snapshot.error();
+    stored.snapshot = std::move(snapshot.value());
+  }
+  for (storage::StoredEntry &entry : recovered.entries)
+    stored.entries.push_back(fromStored(std::move(entry)));
+  return store;
+}
+
+StorageTask::StorageTask(storage::LogStore logStore, std::function<void(CoreEvent)> reportTo)
+    : store(std::move(logStore)), report(std::move(reportTo)), mailbox(MailboxCapacity),
+      thread([this] { this->run(); }) {}
+
+StorageTask::~StorageTask() {
+  this->mailbox.post(std::nullopt);
+  this->thread.join();
+}
+
+void StorageTask::post(StoreBatch batch) {
+  if (!this->mailbox.post(std::move(batch)))
+    this->report(StorageFailed{"the queue of writes is full"});
+}
+
+void StorageTask::run() {
+  while (true) {
+    std::vector<StoreBatch> batches;
+    bool last = false;
+    for (std::optional<StoreBatch> &message :
+         this->mailbox.receive(base::steadyNow() + std::chrono::seconds(1))) {
+      if (message)
+        batches.push_back(std::move(*message));
+      else
+        last = true;
+    }
+    if (!this->write(std::move(batches)) || last)
+      return;
+  }
+}
+
+bool StorageTask::write(std::vector<StoreBatch> batches) {
+  for (std::size_t i = 0; i < batches.size();) {
+    StoreBatch merged = std::move(batches[i++]);
+    while (i < batches.size() && canMerge(merged, batches[i]))
+      merge(merged, std::move(batches[i++]));
+    const StorageDone done{merged.index, merged.term};
+    const bool hasSnapshot = merged.snapshot.has_value();
+    base::Status status = this->store.write(toStorage(std::move(merged)));
+    if (status && hasSnapshot)
+      status = this->store.removeObsolete();
+    if (!status) {
+      this->report(StorageFailed{status.error().path + ": " + status.error().message});
+      return false;
+    }
+    this->report(done);
+  }
+  return true;
+}
+
+} // namespace banyanrill::daemon
