--- a/packages/consensus/include/banyanrill/consensus/Replica.h
+++ b/packages/consensus/include/banyanrill/consensus/Replica.h
@@ -27,6 +27,8 @@
   std::size_t snapshotChunkBytes = 64 * 1024;
   /// Proposals are refused while this many entries are not committed.
   std::size_t maxUncommittedEntries = 4096;
+  /// A larger snapshot from a leader is refused, to bound the memory of its assembly.
+  std::size_t maxSnapshotBytes = 64 * 1024 * 1024;
 };
 
 /// What a replica has on disk when it starts.
@@ -47,26 +49,36 @@
 };
 
 /// What the caller must do. Order: store `hardState`, `snapshot` and `entries` (an entry whose
-/// index exists already replaces it and all that follow), sync, then call `onStored`. `messages`
-/// may be sent at once: the replica itself holds back every message that depends on storage that is
-/// not yet durable.
+/// index exists already replaces it and all that follow), sync, then call `onStored` with
+/// `storedIndex` and `storedTerm`. `messages` may be sent at once: the replica itself holds back
+/// every message that depends on storage that is not yet durable. At most one write is outstanding:
+/// until `onStored`, later outputs have nothing to store.
 struct Output {
   std::vector<Message> messages;
   std::optional<HardState> hardState;
   std::optional<Snapshot> snapshot; ///< Received from the leader: install, then store.
   std::vector<Entry> entries;       ///< To append.
-  std::vector<Entry> committed;     ///< To apply, in order, each exactly once.
-  std::vector<ReadReady> reads;
+  std::vector<Entry> committed;     ///< Durable here; to apply, in order, each exactly once.
+  std::vector<ReadReady> reads;     ///< Answer a read once its index is applied.
+  Index storedIndex = 0;            ///< For `onStored`; set if `mustStore()`.
+  Term storedTerm = 0;              ///< For `onStored`; set if `mustStore()`.
 
   bool mustStore() const { return hardState || snapshot || !entries.empty(); }
 };
 
-enum class ProposeResult : std::uint8_t { Accepted, NotLeader, Busy, MembershipChangePending };
+enum class ProposeResult : std::uint8_t {
+  Accepted,
+  NotLeader,
+  Busy,                    ///< Too many uncommitted entries, a handover, or a lagging learner.
+  MembershipChangePending, ///< The previous membership is not committed.
+  Invalid,                 ///< The membership differs in more than one member, or adds a voter.
+};
 
 /// One member of the group. Not thread-safe: owned by one task.
 class Replica {
 public:
-  /// \param initial membership of a new group; ignored if `stored` holds any state.
+  /// \param initial membership of a new group; used until the log or a snapshot holds a membership.
+  /// A replica that joins an existing group starts with an empty one.
   Replica(ReplicaOptions options, Membership initial, StoredState stored, base::RandomSource random,
           base::TimePoint now);
   ~Replica();
@@ -83,7 +95,9 @@
   /// committed if an entry with this index and term is later delivered in `Output::committed`.
   ProposeResult propose(std::string payload, base::TimePoint now, Index &index, Term &term);
 
-  /// Proposes a membership that differs from the current one in one member.
+  /// Proposes a membership that differs from the current one in one member: a new learner, a
+  /// removed member, a promoted learner or a demoted voter. Returns Busy until the leader has
+  /// committed an entry of its own term.
   ProposeResult proposeMembership(Membership membership, base::TimePoint now);
 
   /// Starts a linearizable read; `ReadReady` with the same context follows while this replica
@@ -96,11 +110,13 @@
   /// Takes all pending work. Call after each of the functions above.
   Output takeOutput();
 
-  /// Reports that everything taken up to and including `index` and the last hard state is durable.
+  /// Reports that everything to store in the last output that had any is durable. `index` and
+  /// `term` are that output's `storedIndex` and `storedTerm`. Precondition: not reported before.
   void onStored(Index index, Term term, base::TimePoint now);
 
   /// Discards entries up to `snapshot.index`, which must be applied; the data is kept to bring
-  /// members up to date that are too far behind.
+  /// members up to date that are too far behind. Preconditions: the snapshot is durable, and its
+  /// membership is `membershipAt(snapshot.index)`. An older snapshot than the last is ignored.
   void compact(Snapshot snapshot);
 
   Role role() const;
@@ -109,7 +125,10 @@
   Index commitIndex() const;
   Index firstIndex() const; ///< Oldest entry still held.
   Index lastIndex() const;
+  /// The latest in the log, which is in force even before it is committed.
   const Membership &membership() const;
+  /// Membership in force at `index`, not before the last snapshot.
+  const Membership &membershipAt(Index index) const;
 
 private:
   struct State;
--- /dev/null
+++ b/packages/consensus/src/Progress.cpp
@@ -0,0 +1,59 @@
+#include "Progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanrill::consensus {
+
+void startProbe(Progress &progress, Index next) {
+  progress.mode = ProgressMode::Probe;
+  progress.next = std::max(next, progress.match + 1);
+  progress.waiting = false;
+  progress.inFlight.clear();
+  progress.snapshot.reset();
+}
+
+void startSnapshot(Progress &progress, std::shared_ptr<const Snapshot> snapshot) {
+  progress.mode = ProgressMode::Snapshot;
+  progress.waiting = false;
+  progress.inFlight.clear();
+  progress.snapshot = std::move(snapshot);
+  progress.offset = 0;
+}
+
+void acknowledge(Progress &progress, Index match, bool canReplicate, base::TimePoint now) {
+  const bool advanced = match > progress.match;
+  if (advanced) {
+    progress.match = match;
+    progress.lastProgress = now;
+  }
+  while (!progress.inFlight.empty() && progress.inFlight.front() <= match) {
+    progress.inFlight.pop_front();
+  }
+  progress.next = std::max(progress.next, progress.match + 1);
+  const bool found =
+      progress.mode == ProgressMode::Probe && (advanced || match + 1 == progress.next);
+  const bool restored = progress.mode == ProgressMode::Snapshot && advanced;
+  if ((found || restored) && canReplicate) {
+    startProbe(progress, progress.match + 1);
+    progress.next = progress.match + 1;
+    progress.mode = ProgressMode::Replicate;
+  }
+}
+
+void retryIfStalled(Progress &progress, base::Duration patience, base::TimePoint now) {
+  if (progress.mode == ProgressMode::Probe) {
+    progress.waiting = false;
+    return;
+  }
+  if (now - progress.lastProgress < patience) {
+    return;
+  }
+  if (progress.mode == ProgressMode::Snapshot) {
+    progress.waiting = false;
+  } else if (!progress.inFlight.empty()) {
+    startProbe(progress, progress.match + 1);
+  }
+}
+
+} // namespace banyanrill::consensus
--- /dev/null
+++ b/packages/consensus/src/Progress.h
@@ -0,0 +1,41 @@
+// The leader's view of one peer: what it holds, what is in flight, and how fast to send.
+#pragma once
+
+#include "banyanrill/base/Time.h"
+#include "banyanrill/consensus/Message.h"
+
+#include <deque>
+#include <memory>
+
+namespace banyanrill::consensus {
+
+enum class ProgressMode : std::uint8_t {
+  Probe,     ///< The end of the peer's log is unknown: one append at a time.
+  Replicate, ///< Appends are pipelined up to the in-flight bound.
+  Snapshot,  ///< Chunks of a snapshot, one at a time.
+};
+
+struct Progress {
+  ProgressMode mode = ProgressMode::Probe;
+  Index match = 0;            ///< Highest index known to be durable on the peer.
+  Index next = 1;             ///< First index of the next append.
+  bool waiting = false;       ///< Probe and Snapshot: a message is unanswered.
+  std::deque<Index> inFlight; ///< Last index of each unanswered append.
+  base::TimePoint lastContact{};
+  base::TimePoint lastProgress{};
+  std::uint64_t readRound = 0;              ///< Highest read round that the peer confirmed.
+  std::shared_ptr<const Snapshot> snapshot; ///< Being sent; kept if the leader compacts again.
+  std::uint64_t offset = 0;                 ///< Bytes of the snapshot that the peer holds.
+
+  bool operator==(const Progress &) const = default;
+};
+
+void startProbe(Progress &progress, Index next);
+void startSnapshot(Progress &progress, std::shared_ptr<const Snapshot> snapshot);
+/// Records that the peer holds everything up to `match`. `canReplicate`: the leader still holds the
+/// entry after it.
+void acknowledge(Progress &progress, Index match, bool canReplicate, base::TimePoint now);
+/// Allows a message to be sent again if the peer made no progress for `patience`.
+void retryIfStalled(Progress &progress, base::Duration patience, base::TimePoint now);
+
+} // namespace banyanrill::consensus
