--- a/packages/consensus/src/Progress.cpp
+++ b/packages/consensus/src/Progress.cpp
@@ -31,13 +31,15 @@
     progress.inFlight.pop_front();
   }
   progress.next = std::max(progress.next, progress.match + 1);
-  const bool found =
-      progress.mode == ProgressMode::Probe && (advanced || match + 1 == progress.next);
-  const bool restored = progress.mode == ProgressMode::Snapshot && advanced;
-  if ((found || restored) && canReplicate) {
+  if (progress.mode == ProgressMode::Snapshot &&
+      (progress.match >= progress.snapshot->index || (advanced && canReplicate))) {
+    // Without the following entry, the probe leads to a newer snapshot.
     startProbe(progress, progress.match + 1);
-    progress.next = progress.match + 1;
+  }
+  if (progress.mode == ProgressMode::Probe && canReplicate &&
+      (advanced || match + 1 == progress.next)) {
     progress.mode = ProgressMode::Replicate;
+    progress.next = progress.match + 1;
   }
 }
 
--- a/packages/consensus/src/Replication.cpp
+++ b/packages/consensus/src/Replication.cpp
@@ -90,6 +90,10 @@
   if (hint >= state.log.firstIndex()) {
     hint = state.log.lastAtMost(hint, message.logTerm);
   }
+  // The peer's log already differs at the base of this one, so only a snapshot can help.
+  if (hint == state.log.baseIndex() && state.log.termAt(hint).value() > message.logTerm) {
+    --hint;
+  }
   startProbe(progress, std::min(hint, state.log.lastIndex()) + 1);
 }
 
--- a/packages/consensus/tests/SafetyPropertyTest.cpp
+++ b/packages/consensus/tests/SafetyPropertyTest.cpp
@@ -46,3 +46,14 @@
     }
   }));
 }
+
+// The peer's log conflicted at the leader's base, and the leader probed there forever instead of
+// sending its snapshot.
+TEST(SafetyProperty, recoversAfterConflictAtTheLeadersBase) {
+  STRCMP_EQUAL("", failureOf(7291387863334788077ULL).c_str());
+}
+
+// The leader compacted again while it sent a snapshot, and kept sending the old one forever.
+TEST(SafetyProperty, recoversWhenASnapshotIsOutdatedDuringItsTransfer) {
+  STRCMP_EQUAL("", failureOf(9467865236876495210ULL).c_str());
+}
