Add the settings tree, the policies and the log store

Cause: the replicated state needs a versioned tree of settings and a durable form of a replica's log.

Change: Tree applies changes of several paths atomically by compare-and-set, records outcomes by request identifier, and saves itself as one MessagePack array that stores each distinct text once. The history for followers is read from the audit trail, so that no value is held twice. Policies are checked with JSON Schema. LogStore writes each batch as one framed record, so that an interrupted write is always one damaged record at the end and never damage followed by valid records.

Ruled out: one frame for each entry (the pages of an unsynced batch can reach the disk in any order, which would look like damage in the middle of the log).

--- a/packages/settings/include/banyanrill/settings/Tree.h
+++ b/packages/settings/include/banyanrill/settings/Tree.h
@@ -49,8 +49,10 @@
   Revision revision = 0; ///< Of the change if accepted, else of the tree.
   std::string errorPath;
   std::string errorMessage;
-  int errorCode = 0;            ///< A `base::Errc`; 0 if accepted.
-  std::optional<Value> current; ///< Value that won, after a version conflict.
+  int errorCode = 0; ///< A `base::Errc`; 0 if accepted.
+  /// Value that won, after a version conflict, if it exists and is at most 1 KiB (outcomes are
+  /// kept, and large ones would make snapshots too large).
+  std::optional<Value> current;
 
   bool operator==(const Outcome &) const = default;
 };
@@ -76,13 +78,18 @@
   bool operator==(const AuditRecord &) const = default;
 };
 
+/// Equal on all replicas: they decide which changes are accepted. The bounds in bytes keep `save`
+/// below the 64 MiB that a snapshot may hold.
 struct TreeLimits {
   std::size_t paths = 65536;
   std::size_t valueBytes = 64 * 1024;
+  std::size_t totalBytes = 24 * 1024 * 1024; ///< Of all paths and values.
   std::size_t editsPerChange = 64;
-  std::size_t requestIds = 8192;    ///< The oldest is dropped at the bound.
-  std::size_t auditRecords = 16384; ///< The oldest is dropped at the bound.
-  std::size_t history = 1024;       ///< Revisions that followers can resume from.
+  std::size_t requestIds = 8192;             ///< The oldest is dropped at the bound.
+  std::size_t auditRecords = 16384;          ///< The oldest is dropped at the bound.
+  std::size_t auditBytes = 16 * 1024 * 1024; ///< The oldest record is dropped at the bound.
+  /// Revisions that followers can resume from; fewer if the audit trail no longer holds them.
+  std::size_t history = 1024;
 };
 
 /// Deterministic: replicas that apply the same changes hold equal trees. Not thread-safe.
@@ -93,7 +100,11 @@
   Tree(Tree &&) noexcept;
   Tree &operator=(Tree &&) noexcept;
 
-  /// Applies a change, or returns the recorded outcome if its request identifier is known.
+  /// Applies a change, or returns the recorded outcome if its request identifier is known. Every
+  /// edit must satisfy `checkSetting`. Outcomes other than acceptance: Malformed, SchemaViolation,
+  /// NotFound (unknown subtree, or removal of a path that does not exist), TooLarge,
+  /// VersionConflict, LimitReached, and KeyReuse if the identifier is known with other edits.
+  /// KeyReuse and an invalid identifier (1 to 128 printable ASCII characters) are not recorded.
   Outcome apply(const Change &change);
 
   /// As `apply`, but changes nothing (dry run).
@@ -106,7 +117,8 @@
 
   Revision revision() const;
 
-  /// Changes after `from`, in order; empty optional if they are beyond the history.
+  /// Changes after `from`, in order; empty optional if they are beyond the history. Nothing if
+  /// `from` is the current revision or a later one.
   std::optional<std::vector<Applied>> changesSince(Revision from) const;
 
   /// Newest first; `prefix` limits the paths.
@@ -115,13 +127,16 @@
   /// Complete state, for a snapshot.
   std::string save() const;
 
-  /// Replaces the state. Errors: DataCorrupted; then nothing is changed.
+  /// Replaces the state, also by an older one. Errors: DataCorrupted, also if the state exceeds the
+  /// limits; then nothing is changed.
   base::Status load(const std::string &saved);
 
-  /// Installs values on a daemon that follows. Older revisions than the current one are ignored.
+  /// Installs the result of `changesSince` on a daemon that follows. Changes up to the current
+  /// revision are skipped. Does nothing unless the rest leads without a gap from the current
+  /// revision to `revision`, because a lost message must not lose a change.
   void follow(Revision revision, const std::vector<Applied> &changes);
 
-  /// Replaces all values by a snapshot from a replica, unless it is older.
+  /// Replaces all values by a snapshot from a replica (`list("/")`), unless it is older.
   void followSnapshot(Revision revision, const std::vector<std::pair<std::string, Value>> &values);
 
 private:
--- a/packages/storage/include/banyanrill/storage/LogStore.h
+++ b/packages/storage/include/banyanrill/storage/LogStore.h
@@ -3,6 +3,7 @@
 
 #include "banyanrill/base/Error.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -11,6 +12,12 @@
 
 namespace banyanrill::storage {
 
+struct Environment;
+
+/// Bound of the encoded entries of a batch, and of the data of a snapshot.
+inline constexpr std::size_t MaxBatchBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxSnapshotBytes = 64 * 1024 * 1024;
+
 /// One log entry as stored. `kind` and `payload` are opaque here.
 struct StoredEntry {
   std::uint64_t index = 0;
@@ -55,11 +62,16 @@
   std::uint64_t repairedBytes = 0;  ///< Length of an incomplete record cut off the tail.
 };
 
-/// Changes to make durable together.
+/// Changes to make durable together: hard state and entries all or not at all; the snapshot may
+/// become durable without them if the process ends in between.
 struct Batch {
   std::optional<StoredHardState> hardState;
+  /// Replaces the entries up to its index. Entries after it are kept if the stored entry at its
+  /// index has its term. Ignored if a snapshot of that or a higher index is stored.
   std::optional<StoredSnapshot> snapshot;
-  std::vector<StoredEntry> entries; ///< The first index may replace a stored suffix.
+  /// Contiguous. The first index may replace a stored suffix; it must not leave a gap. Entries that
+  /// the snapshot covers are skipped.
+  std::vector<StoredEntry> entries;
 };
 
 /// Owner of one data folder. Not thread-safe: owned by the storage task.
@@ -74,15 +86,21 @@
   /// Takes an exclusive lock on the folder. Errors: NotFound, DataCorrupted, StorageFailure.
   static base::Result<LogStore> open(const std::string &folder, RecoveredState &recovered);
 
+  /// As above, with other file operations or segment size (see src/Environment.h).
+  static base::Result<LogStore> open(const std::string &folder, RecoveredState &recovered,
+                                     const Environment &environment);
+
   LogStore(LogStore &&) noexcept;
   LogStore &operator=(LogStore &&) noexcept;
   ~LogStore();
 
   /// Writes and syncs. After an error nothing more may be written: the state of the file is unknown
-  /// until it is opened again, and every later call fails as well.
+  /// until it is opened again, and every later call fails as well. Errors: StorageFailure; TooLarge
+  /// for a batch beyond the bounds, which is not written and lets later calls succeed.
   base::Status write(const Batch &batch);
 
-  /// Removes segments that a durable snapshot makes unnecessary.
+  /// Removes segments and snapshots that a durable snapshot makes unnecessary. Errors:
+  /// StorageFailure, after which every later call fails as well.
   base::Status removeObsolete();
 
 private:
--- /dev/null
+++ b/packages/storage/src/LogStore.cpp
@@ -0,0 +1,374 @@
+#include "banyanrill/storage/LogStore.h"
+
+#include "Environment.h"
+#include "Files.h"
+#include "FolderFiles.h"
+#include "Record.h"
+#include "Recovery.h"
+#include "Segment.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cerrno>
+#include <deque>
+#include <fcntl.h>
+#include <filesystem>
+#include <random>
+#include <span>
+#include <sys/file.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace banyanrill::storage {
+
+using base::Errc;
+using base::Error;
+
+namespace {
+
+constexpr std::uint64_t FirstSequence = 1;
+
+std::uint64_t randomNumber() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::string randomToken() {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  constexpr std::size_t TokenDigits = 32;
+  std::random_device device;
+  std::string token;
+  while (token.size() < TokenDigits)
+    token += Digits[device() % Digits.size()];
+  return token;
+}
+
+/// The lock ends with the process, also after a crash.
+base::Result<Descriptor> lockFolder(const std::string &folder) {
+  const std::string path = folder + "/" + LockName;
+  base::Result<Descriptor> file = openFile(path, O_RDWR | O_CREAT);
+  if (!file)
+    return file;
+  if (::flock(file.value().get(), LOCK_EX | LOCK_NB) == 0)
+    return file;
+  if (errno == EWOULDBLOCK)
+    return Error{Errc::StorageFailure, path, "another process uses the folder"};
+  return systemError(path, "lock");
+}
+
+/// A complete segment without entries.
+std::string initialSegment(const SegmentHeader &header, const StoredHardState &hardState,
+                           const SnapshotMark &snapshot) {
+  return encodeSegmentHeader(header) +
+         encodeFrame(header.salt, SegmentHeaderBytes, encodeRecord(hardState, snapshot, {}));
+}
+
+/// Refuses a folder that holds anything but the first segment of a creation that was interrupted
+/// before it wrote the identity.
+base::Status checkUnused(const std::string &folder, std::size_t initialBytes) {
+  const base::Result<std::vector<std::string>> names = listFolder(folder);
+  if (!names)
+    return names.error();
+  for (const std::string &name : names.value()) {
+    if (name == IdentityName)
+      return Error{Errc::LimitReached, folder, "the folder already holds a replica"};
+  }
+  for (const std::string &name : names.value()) {
+    const std::string path = folder + "/" + name;
+    std::error_code code;
+    const bool isLeftover = name == segmentName(FirstSequence) &&
+                            std::filesystem::file_size(path, code) == initialBytes;
+    if (!isLeftover && (segmentSequence(name) || snapshotIndex(name)))
+      return corrupted(path, "the folder holds data, but the identity of its replica is missing");
+  }
+  return std::monostate{};
+}
+
+base::Status removeTemporaryFiles(const FileOperations &files, const std::string &folder) {
+  const base::Result<std::vector<std::string>> names = listFolder(folder);
+  if (!names)
+    return names.error();
+  for (const std::string &name : names.value()) {
+    if (name.size() < TemporarySuffix.size() ||
+        name.substr(name.size() - TemporarySuffix.size()) != TemporarySuffix)
+      continue;
+    const std::string path = folder + "/" + name;
+    if (files.unlink(path.c_str()) != 0)
+      return systemError(path, "removal");
+  }
+  return std::monostate{};
+}
+
+std::size_t encodedBytes(const std::vector<StoredEntry> &entries) {
+  constexpr std::size_t FixedBytes = 22; // Item, index, term, kind, size of the payload.
+  std::size_t bytes = 0;
+  for (const StoredEntry &entry : entries)
+    bytes += FixedBytes + entry.payload.size();
+  return bytes;
+}
+
+} // namespace
+
+struct LogStore::State {
+  std::string folder;
+  Environment environment;
+  Descriptor lock;
+  Descriptor file; ///< Newest segment, positioned at its end.
+  SegmentHeader header;
+  std::size_t fileBytes = 0;
+  std::vector<SegmentInfo> segments;
+  StoredHardState hardState;
+  SnapshotMark snapshot;
+  std::deque<std::uint64_t> terms; ///< Of the entries after the snapshot.
+  bool failed = false;
+
+  std::string segmentPath() const {
+    return this->folder + "/" + segmentName(this->header.sequence);
+  }
+
+  std::uint64_t lastIndex() const { return this->snapshot.index + this->terms.size(); }
+
+  base::Status openSegment() {
+    base::Result<Descriptor> opened = openFile(this->segmentPath(), O_WRONLY | O_APPEND);
+    if (!opened)
+      return opened.error();
+    this->file = std::move(opened.value());
+    return std::monostate{};
+  }
+
+  /// Cuts off what follows the valid records, and makes durable what was recovered: the process may
+  /// have ended between a write and its sync.
+  base::Status settle(const FolderContents &contents) {
+    if (contents.newestFileBytes > contents.newestValidBytes &&
+        ::ftruncate(this->file.get(), static_cast<off_t>(contents.newestValidBytes)) != 0)
+      return systemError(this->segmentPath(), "truncation");
+    if (this->environment.files.fdatasync(this->file.get()) != 0)
+      return systemError(this->segmentPath(), "sync");
+    if (base::Status status = syncFolder(this->environment.files, this->folder); !status)
+      return status;
+    if (contents.snapshotIsUnmarked)
+      return this->append(encodeRecord(std::nullopt, this->snapshot, {}));
+    return std::monostate{};
+  }
+
+  base::Status append(const std::string &body) {
+    const std::string frame = encodeFrame(this->header.salt, this->fileBytes, body);
+    const FileOperations &files = this->environment.files;
+    if (base::Status status = writeAll(files, this->file.get(), this->segmentPath(), frame);
+        !status)
+      return status;
+    if (files.fdatasync(this->file.get()) != 0)
+      return systemError(this->segmentPath(), "sync");
+    this->fileBytes += frame.size();
+    return std::monostate{};
+  }
+
+  base::Status startSegment() {
+    this->header.sequence += 1;
+    this->header.salt = randomNumber();
+    SnapshotMark mark = this->snapshot;
+    mark.resetLog = false;
+    const std::string bytes = initialSegment(this->header, this->hardState, mark);
+    if (base::Status status = replaceFile(this->environment.files, this->folder,
+                                          segmentName(this->header.sequence), bytes);
+        !status)
+      return status;
+    this->fileBytes = bytes.size();
+    this->segments.push_back({this->header.sequence, 0});
+    return this->openSegment();
+  }
+
+  /// Empty optional if the snapshot is not newer than the stored one.
+  std::optional<SnapshotMark> markFor(const std::optional<StoredSnapshot> &candidate) const {
+    if (!candidate || candidate->index <= this->snapshot.index)
+      return std::nullopt;
+    const std::uint64_t position = candidate->index - this->snapshot.index - 1;
+    const bool matches = position < this->terms.size() && this->terms[position] == candidate->term;
+    return SnapshotMark{candidate->index, candidate->term, !matches};
+  }
+
+  void noteSnapshot(const SnapshotMark &mark) {
+    const std::uint64_t covered = mark.index - this->snapshot.index;
+    if (mark.resetLog)
+      this->terms.clear();
+    else
+      this->terms.erase(this->terms.begin(),
+                        this->terms.begin() + static_cast<std::ptrdiff_t>(covered));
+    this->snapshot = mark;
+  }
+
+  void noteEntries(std::span<const StoredEntry> entries) {
+    if (entries.empty())
+      return;
+    this->terms.resize(entries.front().index - this->snapshot.index - 1);
+    for (const StoredEntry &entry : entries)
+      this->terms.push_back(entry.term);
+    SegmentInfo &segment = this->segments.back();
+    segment.maxIndex = std::max(segment.maxIndex, entries.back().index);
+  }
+
+  base::Status write(const Batch &batch) {
+    const std::optional<SnapshotMark> mark = this->markFor(batch.snapshot);
+    const std::uint64_t covered = mark ? mark->index : this->snapshot.index;
+    std::span<const StoredEntry> entries = batch.entries;
+    while (!entries.empty() && entries.front().index <= covered)
+      entries = entries.subspan(1);
+    if (!batch.hardState && !mark && entries.empty())
+      return std::monostate{};
+    const std::uint64_t last = mark && mark->resetLog ? mark->index : this->lastIndex();
+    assert(entries.empty() || entries.front().index <= last + 1);
+    assert(!batch.hardState || batch.hardState->term >= this->hardState.term);
+    static_cast<void>(last);
+
+    // The snapshot first: a record must never name a snapshot that may not survive.
+    if (mark) {
+      if (base::Status status =
+              writeSnapshot(this->environment.files, this->folder, *batch.snapshot);
+          !status)
+        return status;
+    }
+    if (this->fileBytes >= this->environment.segmentBytes) {
+      if (base::Status status = this->startSegment(); !status)
+        return status;
+    }
+    if (base::Status status = this->append(encodeRecord(batch.hardState, mark, entries)); !status)
+      return status;
+    this->hardState = batch.hardState.value_or(this->hardState);
+    if (mark)
+      this->noteSnapshot(*mark);
+    this->noteEntries(entries);
+    return std::monostate{};
+  }
+
+  base::Status removeObsolete() {
+    const FileOperations &files = this->environment.files;
+    bool removed = false;
+    // Oldest first: a crash in between leaves no gap.
+    while (this->segments.size() > 1 && this->segments.front().maxIndex <= this->snapshot.index) {
+      const std::string path = this->folder + "/" + segmentName(this->segments.front().sequence);
+      if (files.unlink(path.c_str()) != 0)
+        return systemError(path, "removal");
+      this->segments.erase(this->segments.begin());
+      removed = true;
+    }
+    const base::Result<std::vector<std::string>> names = listFolder(this->folder);
+    if (!names)
+      return names.error();
+    for (const std::string &name : names.value()) {
+      const std::optional<std::uint64_t> index = snapshotIndex(name);
+      if (!index || *index >= this->snapshot.index)
+        continue;
+      const std::string path = this->folder + "/" + name;
+      if (files.unlink(path.c_str()) != 0)
+        return systemError(path, "removal");
+      removed = true;
+    }
+    return removed ? syncFolder(files, this->folder) : base::Status(std::monostate{});
+  }
+
+  Error failure() const {
+    return Error{Errc::StorageFailure, this->folder,
+                 "an earlier write failed; the state of the files is unknown"};
+  }
+};
+
+base::Result<FolderIdentity> LogStore::create(const std::string &folder, std::uint32_t replica) {
+  std::error_code code;
+  std::filesystem::create_directories(folder, code);
+  if (code)
+    return Error{Errc::StorageFailure, folder, "creation failed: " + code.message()};
+  const base::Result<Descriptor> lock = lockFolder(folder);
+  if (!lock)
+    return lock.error();
+  const FileOperations files = systemEnvironment().files;
+  const SegmentHeader header{SegmentVersion, FirstSequence, randomNumber()};
+  const std::string segment = initialSegment(header, {}, {});
+  if (const base::Status status = checkUnused(folder, segment.size()); !status)
+    return status.error();
+  // The identity last: a folder that has one is complete.
+  const FolderIdentity identity{replica, randomToken()};
+  if (const base::Status status = replaceFile(files, folder, segmentName(FirstSequence), segment);
+      !status)
+    return status.error();
+  if (const base::Status status = writeIdentity(files, folder, identity); !status)
+    return status.error();
+  const std::filesystem::path parent = std::filesystem::absolute(folder, code).parent_path();
+  if (const base::Status status = syncFolder(files, parent.string()); !status)
+    return status.error();
+  return identity;
+}
+
+base::Result<LogStore> LogStore::open(const std::string &folder, RecoveredState &recovered) {
+  return LogStore::open(folder, recovered, systemEnvironment());
+}
+
+base::Result<LogStore> LogStore::open(const std::string &folder, RecoveredState &recovered,
+                                      const Environment &environment) {
+  const base::Result<FolderIdentity> identity = readIdentity(folder);
+  if (!identity)
+    return identity.error();
+  base::Result<Descriptor> lock = lockFolder(folder);
+  if (!lock)
+    return lock.error();
+  if (const base::Status status = removeTemporaryFiles(environment.files, folder); !status)
+    return status.error();
+  base::Result<FolderContents> read = readFolder(folder);
+  if (!read)
+    return read.error();
+  FolderContents &contents = read.value();
+
+  auto state = std::make_unique<State>();
+  state->folder = folder;
+  state->environment = environment;
+  state->lock = std::move(lock.value());
+  state->header = contents.newest;
+  state->fileBytes = contents.newestValidBytes;
+  state->segments = contents.segments;
+  state->hardState = contents.replay.hardState;
+  state->snapshot = contents.replay.snapshot;
+  for (const StoredEntry &entry : contents.replay.entries)
+    state->terms.push_back(entry.term);
+  if (const base::Status status = state->openSegment(); !status)
+    return status.error();
+  if (const base::Status status = state->settle(contents); !status)
+    return status.error();
+
+  recovered.identity = identity.value();
+  recovered.hardState = state->hardState;
+  recovered.snapshot = std::move(contents.snapshot);
+  recovered.entries.assign(std::move_iterator(contents.replay.entries.begin()),
+                           std::move_iterator(contents.replay.entries.end()));
+  recovered.repairedBytes = contents.newestFileBytes - contents.newestValidBytes;
+  return LogStore(std::move(state));
+}
+
+LogStore::LogStore(std::unique_ptr<State> opened) : state(std::move(opened)) {}
+LogStore::LogStore(LogStore &&) noexcept = default;
+LogStore &LogStore::operator=(LogStore &&) noexcept = default;
+LogStore::~LogStore() = default;
+
+base::Status LogStore::write(const Batch &batch) {
+  if (this->state->failed)
+    return this->state->failure();
+  const std::string &folder = this->state->folder;
+  if (encodedBytes(batch.entries) > MaxBatchBytes)
+    return Error{Errc::TooLarge, folder,
+                 "the entries of a batch have at most " + std::to_string(MaxBatchBytes) + " bytes"};
+  if (batch.snapshot && batch.snapshot->data.size() > MaxSnapshotBytes)
+    return Error{Errc::TooLarge, folder,
+                 "a snapshot has at most " + std::to_string(MaxSnapshotBytes) + " bytes"};
+  base::Status status = this->state->write(batch);
+  this->state->failed = !status;
+  return status;
+}
+
+base::Status LogStore::removeObsolete() {
+  if (this->state->failed)
+    return this->state->failure();
+  base::Status status = this->state->removeObsolete();
+  this->state->failed = !status;
+  return status;
+}
+
+} // namespace banyanrill::storage
