Add the ledger and a first working planner

Services, batch runs, gangs, cancellation, preemption and quotas are placed; one gang test still fails (starvation by a stream of small tasks) and is being worked on.

--- /dev/null
+++ b/packages/placement/src/GangReservation.cpp
@@ -0,0 +1,126 @@
+#include "GangReservation.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace banyanrill::placement {
+
+using base::Duration;
+using base::Resources;
+
+namespace {
+
+// Estimates are wrong by a factor; after this the reservation is granted anew from fresh ones, and
+// another waiting gang may be first.
+constexpr Duration LongestHold = std::chrono::minutes(15);
+constexpr Duration ShortestHold = std::chrono::minutes(1);
+
+std::int64_t slotsIn(const Resources &free, const Resources &demand) {
+  if (!free.isValid())
+    return 0;
+  std::int64_t slots = std::numeric_limits<std::int32_t>::max();
+  if (demand.millicores > 0)
+    slots = std::min(slots, free.millicores / demand.millicores);
+  if (demand.memoryMib > 0)
+    slots = std::min(slots, free.memoryMib / demand.memoryMib);
+  if (demand.accelerators > 0)
+    slots = std::min(slots, free.accelerators / demand.accelerators);
+  return slots;
+}
+
+struct Release {
+  Duration in;
+  std::uint32_t slot;
+  Resources amount;
+};
+
+} // namespace
+
+bool GangReservation::grant(Job &holder, std::uint32_t slotsWanted, const Query &query,
+                            WorkerIndex &workers, const RunTimeEstimator &runTimes,
+                            base::TimePoint now) {
+  assert(this->job == nullptr && slotsWanted > 0);
+  std::unordered_map<std::uint32_t, Resources> free;
+  std::vector<Release> releases;
+  std::int64_t total = 0;
+  for (std::uint32_t slot = 0; slot < workers.size(); ++slot) {
+    const Worker &worker = workers.at(slot);
+    if (!worker.isUsable() || !workers.zoneAllowed(query, worker.zone) ||
+        !query.demand.fitsIn(worker.view.capacity))
+      continue;
+    free[slot] = worker.unclaimedFree();
+    total += slotsIn(free[slot], query.demand);
+    for (const TaskRef &ref : worker.tasks) {
+      if (ref.job->isService())
+        continue;
+      const Task &task = ref.job->tasks[ref.index];
+      releases.push_back({runTimes.remaining(*ref.job, task, now), slot, task.held});
+    }
+  }
+  std::sort(releases.begin(), releases.end(),
+            [](const Release &a, const Release &b) { return a.in < b.in; });
+  Duration wait{0};
+  for (const Release &release : releases) {
+    if (total >= slotsWanted)
+      break;
+    Resources &rest = free[release.slot];
+    total -= slotsIn(rest, query.demand);
+    rest = rest + release.amount;
+    total += slotsIn(rest, query.demand);
+    wait = release.in;
+  }
+  if (total < slotsWanted)
+    return false;
+  // Workers with the most slots first: fewer workers are held back for general work.
+  std::vector<std::pair<std::int64_t, std::uint32_t>> order;
+  for (const auto &[slot, rest] : free) {
+    const std::int64_t slots = slotsIn(rest, query.demand);
+    if (slots > 0)
+      order.emplace_back(-slots, slot);
+  }
+  std::sort(order.begin(), order.end());
+  std::int64_t missing = slotsWanted;
+  for (const auto &[negative, slot] : order) {
+    if (missing <= 0)
+      break;
+    const std::int64_t used = std::min(missing, -negative);
+    this->kept[slot] = query.demand * used;
+    missing -= used;
+  }
+  this->job = &holder;
+  this->granted = now;
+  this->expectedStart = now + wait;
+  this->expiry = now + std::clamp(wait * 3 / 2, ShortestHold, LongestHold);
+  this->restore(workers);
+  return true;
+}
+
+void GangReservation::drop(WorkerIndex &workers) {
+  this->lift(workers);
+  this->kept.clear();
+  this->job = nullptr;
+}
+
+void GangReservation::lift(WorkerIndex &workers) const {
+  for (const auto &[slot, amount] : this->kept)
+    workers.setReserved(slot, Resources{});
+}
+
+void GangReservation::restore(WorkerIndex &workers) const {
+  for (const auto &[slot, amount] : this->kept)
+    workers.setReserved(slot, amount);
+}
+
+std::uint32_t GangReservation::backfill(const Query &query, const WorkerIndex &workers) const {
+  for (const auto &[slot, amount] : this->kept) {
+    const Worker &worker = workers.at(slot);
+    if (worker.isUsable() && workers.zoneAllowed(query, worker.zone) && !query.avoids(slot) &&
+        query.demand.fitsIn(worker.unclaimedFree()))
+      return slot;
+  }
+  return NoWorker;
+}
+
+bool GangReservation::covers(std::uint32_t slot) const { return this->kept.count(slot) != 0; }
+
+} // namespace banyanrill::placement
--- /dev/null
+++ b/packages/placement/src/Preemption.cpp
@@ -0,0 +1,216 @@
+#include "Preemption.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace banyanrill::placement {
+
+using base::Resources;
+
+namespace {
+
+// Workers looked at in one search; bounds its cost independently of the size of the cell.
+constexpr std::size_t SearchWidth = 64;
+// A task that was stopped this often is not stopped again for priority, so that it ends some time.
+constexpr std::uint32_t MaxPreemptions = 3;
+// Work lost by a task that writes a checkpoint: the checkpoint itself, at most 2 s.
+constexpr double CheckpointCost = 2.0;
+
+struct Candidate {
+  double cost = 0;
+  Eviction eviction;
+};
+
+/// What earlier slots of the same search have already taken and freed.
+struct Overlay {
+  std::map<std::uint32_t, Resources> taken;
+  std::set<TaskRef> victims;
+  std::map<const Team *, Resources> returned;
+};
+
+double costOf(const TaskRef &ref, base::TimePoint now) {
+  const Task &task = ref.job->tasks[ref.index];
+  const double run = static_cast<double>((now - task.since).count()) / 1e6;
+  const double lost =
+      ref.job->spec.checkpointable ? std::min(run, CheckpointCost) : std::max(run, 0.0);
+  const double weight = static_cast<double>(task.held.millicores) / 1000.0 +
+                        8.0 * static_cast<double>(task.held.accelerators);
+  // The whole gang starts again when one of its tasks is stopped.
+  const double tasks = ref.job->isGang() ? ref.job->active : 1;
+  return (1.0 + lost) * (0.1 + weight) * tasks;
+}
+
+bool isCalledBack(const TaskRef &ref, const Job &claimant, const Overlay &overlay) {
+  const Team &lender = *claimant.team;
+  const Team &borrower = *ref.job->team;
+  if (!lender.quota || &lender == &borrower || !borrower.borrows())
+    return false;
+  Resources rest = borrower.used - borrower.stopping;
+  const auto returned = overlay.returned.find(&borrower);
+  if (returned != overlay.returned.end())
+    rest = rest - returned->second;
+  return !rest.fitsIn(*borrower.quota);
+}
+
+bool isVictim(const TaskRef &ref, const Job &claimant, const Overlay &overlay) {
+  const Job &job = *ref.job;
+  const Task &task = job.tasks[ref.index];
+  if (&job == &claimant || !job.spec.preemptible || job.ending ||
+      task.phase == TaskPhase::Stopping || overlay.victims.count(ref) != 0)
+    return false;
+  if (job.spec.priority < claimant.spec.priority && task.preemptions < MaxPreemptions)
+    return true;
+  return isCalledBack(ref, claimant, overlay);
+}
+
+bool evaluate(std::uint32_t slot, const PreemptionRequest &request, const WorkerIndex &workers,
+              const Overlay &overlay, Candidate &result) {
+  const Worker &worker = workers.at(slot);
+  const Resources &demand = request.query.demand;
+  if (!worker.isUsable() || !workers.zoneAllowed(request.query, worker.zone) ||
+      request.query.avoids(slot) || !demand.fitsIn(worker.view.capacity))
+    return false;
+  Resources free = worker.generalFree();
+  const auto taken = overlay.taken.find(slot);
+  if (taken != overlay.taken.end())
+    free = free - taken->second;
+  result = {0, {slot, {}}};
+  if (demand.fitsIn(free))
+    return true;
+  std::vector<std::pair<double, TaskRef>> eligible;
+  for (const TaskRef &ref : worker.tasks) {
+    if (isVictim(ref, *request.claimant, overlay))
+      eligible.emplace_back(costOf(ref, request.now), ref);
+  }
+  std::sort(eligible.begin(), eligible.end());
+  // One victim that suffices is better than several cheaper ones.
+  for (const auto &[cost, ref] : eligible) {
+    if (!demand.fitsIn(free + ref.job->tasks[ref.index].held))
+      continue;
+    result = {cost, {slot, {ref}}};
+    return true;
+  }
+  std::vector<std::pair<double, TaskRef>> chosen;
+  Overlay local = overlay;
+  for (const auto &[cost, ref] : eligible) {
+    if (demand.fitsIn(free))
+      break;
+    if (!isVictim(ref, *request.claimant, local))
+      continue;
+    const Resources &held = ref.job->tasks[ref.index].held;
+    free = free + held;
+    local.returned[ref.job->team] = local.returned[ref.job->team] + held;
+    chosen.emplace_back(cost, ref);
+  }
+  if (!demand.fitsIn(free))
+    return false;
+  // The last ones may have made some of the first unnecessary; the most expensive go first.
+  for (auto entry = chosen.rbegin(); entry != chosen.rend(); ++entry) {
+    const Resources &held = entry->second.job->tasks[entry->second.index].held;
+    if (demand.fitsIn(free - held)) {
+      free = free - held;
+      continue;
+    }
+    result.cost += entry->first;
+    result.eviction.victims.push_back(entry->second);
+  }
+  assert(!result.eviction.victims.empty());
+  return true;
+}
+
+bool isBetter(const Candidate &a, const Candidate &b) {
+  if (a.eviction.victims.size() != b.eviction.victims.size())
+    return a.eviction.victims.size() < b.eviction.victims.size();
+  return a.cost < b.cost;
+}
+
+} // namespace
+
+void PreemptionIndex::add(std::int32_t priority, std::uint32_t slot) {
+  ++this->byPriority[priority][slot];
+}
+
+void PreemptionIndex::remove(std::int32_t priority, std::uint32_t slot) {
+  const auto level = this->byPriority.find(priority);
+  assert(level != this->byPriority.end());
+  const auto count = level->second.find(slot);
+  assert(count != level->second.end());
+  if (--count->second > 0)
+    return;
+  level->second.erase(count);
+  if (level->second.empty())
+    this->byPriority.erase(level);
+}
+
+std::vector<std::uint32_t> PreemptionIndex::workersBelow(std::int32_t priority, std::size_t limit,
+                                                         base::RandomSource &random) const {
+  std::vector<std::uint32_t> found;
+  for (const auto &[level, slots] : this->byPriority) {
+    if (level >= priority || found.size() >= limit)
+      break;
+    // A random start spreads the searches over all workers of the level.
+    const std::uint32_t last = slots.rbegin()->first;
+    auto entry = slots.lower_bound(static_cast<std::uint32_t>(random.below(last + 1ULL)));
+    for (std::size_t seen = 0; seen < slots.size() && found.size() < limit; ++seen, ++entry) {
+      if (entry == slots.end())
+        entry = slots.begin();
+      found.push_back(entry->first);
+    }
+  }
+  return found;
+}
+
+std::vector<Eviction> findEvictions(const PreemptionRequest &request, const WorkerIndex &workers,
+                                    const PreemptionIndex &index, const QuotaTable &quotas,
+                                    base::RandomSource &random) {
+  const std::size_t width = std::max<std::size_t>(SearchWidth, 2 * request.slotsWanted);
+  std::vector<std::uint32_t> slots =
+      index.workersBelow(request.claimant->spec.priority, width, random);
+  if (request.claimant->team->quota) {
+    for (const Team *team : quotas.borrowers()) {
+      for (const TaskRef &ref : team->preemptible) {
+        if (slots.size() >= 2 * width)
+          break;
+        slots.push_back(ref.job->tasks[ref.index].worker);
+      }
+    }
+  }
+  std::sort(slots.begin(), slots.end());
+  slots.erase(std::unique(slots.begin(), slots.end()), slots.end());
+
+  std::vector<Eviction> evictions;
+  Overlay overlay;
+  // Each worker is evaluated again only after a slot on it was taken.
+  std::map<std::uint32_t, Candidate> candidates;
+  for (const std::uint32_t slot : slots) {
+    Candidate candidate;
+    if (evaluate(slot, request, workers, overlay, candidate))
+      candidates.emplace(slot, std::move(candidate));
+  }
+  while (evictions.size() < request.slotsWanted) {
+    auto best = candidates.end();
+    for (auto entry = candidates.begin(); entry != candidates.end(); ++entry) {
+      if (best == candidates.end() || isBetter(entry->second, best->second))
+        best = entry;
+    }
+    if (best == candidates.end())
+      break;
+    const std::uint32_t slot = best->first;
+    Resources &taken = overlay.taken[slot];
+    taken = taken + request.query.demand;
+    for (const TaskRef &ref : best->second.eviction.victims) {
+      const Resources &held = ref.job->tasks[ref.index].held;
+      taken = taken - held;
+      overlay.victims.insert(ref);
+      overlay.returned[ref.job->team] = overlay.returned[ref.job->team] + held;
+    }
+    evictions.push_back(best->second.eviction);
+    if (!evaluate(slot, request, workers, overlay, best->second))
+      candidates.erase(best);
+  }
+  if (request.allOrNone && evictions.size() < request.slotsWanted)
+    return {};
+  return evictions;
+}
+
+} // namespace banyanrill::placement
--- /dev/null
+++ b/packages/placement/src/QuotaTable.h
@@ -0,0 +1,50 @@
+// Resources in use by each team, and which teams borrow beyond their quota.
+#pragma once
+
+#include "Model.h"
+
+#include <optional>
+
+namespace banyanrill::placement {
+
+struct Team {
+  std::string name;
+  std::optional<base::Resources> quota;
+  std::size_t jobs = 0;
+  base::Resources used;     ///< Of tasks that are assigned, running or stopping.
+  base::Resources stopping; ///< The part of `used` whose stop was requested.
+  std::set<TaskRef> preemptible;
+
+  bool admits(const base::Resources &demand) const {
+    return !this->quota || (this->used + demand).fitsIn(*this->quota);
+  }
+  /// Tasks that are being stopped count as returned, so that no more is called back than needed.
+  bool borrows() const {
+    return this->quota && !(this->used - this->stopping).fitsIn(*this->quota);
+  }
+};
+
+/// Not thread-safe. A team is kept while it has a quota or a job; references stay valid until then.
+class QuotaTable {
+public:
+  Team &join(const std::string &name);
+  void leave(Team &team);
+  void setQuota(const std::string &name, const base::Resources &quota);
+  void clearQuota(const std::string &name);
+  std::optional<base::Resources> quota(const std::string &name) const;
+
+  void take(Team &team, TaskRef task, const base::Resources &amount, bool preemptible);
+  void markStopping(Team &team, const base::Resources &amount);
+  void giveBack(Team &team, TaskRef task, const base::Resources &amount, bool stopping);
+
+  const std::set<Team *> &borrowers() const { return this->overQuota; }
+
+private:
+  Team &team(const std::string &name);
+  void classify(Team &team);
+
+  std::unordered_map<std::string, Team> teams;
+  std::set<Team *> overQuota;
+};
+
+} // namespace banyanrill::placement
--- /dev/null
+++ b/packages/placement/src/WorkerHealth.cpp
@@ -0,0 +1,90 @@
+#include "WorkerHealth.h"
+
+#include <algorithm>
+
+namespace banyanrill::placement {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+
+// A probe costs one attempt of a task, so the wait doubles from one minute to half an hour.
+constexpr Duration FirstWait = std::chrono::minutes(1);
+constexpr Duration LongestWait = std::chrono::minutes(30);
+// As many as there may be workers; beyond it failures are not recorded.
+constexpr std::size_t MaxSuspects = 8192;
+
+} // namespace
+
+WorkerHealth::Verdict WorkerHealth::onFailure(const std::string &worker, std::uint64_t job,
+                                              bool jobFailsElsewhere, std::size_t workers,
+                                              TimePoint now) {
+  const auto held = this->quarantined.find(worker);
+  if (held != this->quarantined.end()) {
+    Quarantine &record = held->second;
+    // A job that fails elsewhere too says nothing about this worker: probe again soon.
+    if (!jobFailsElsewhere)
+      record.wait = std::min(LongestWait, record.wait * 2);
+    record.probeAt = now + record.wait;
+    record.probing = false;
+    return Verdict::Unchanged;
+  }
+  if (jobFailsElsewhere)
+    return Verdict::Unchanged;
+  if (this->suspects.size() >= MaxSuspects && this->suspects.count(worker) == 0)
+    return Verdict::Unchanged;
+  std::set<std::uint64_t> &jobs = this->suspects[worker];
+  if (jobs.size() < JobsToQuarantine)
+    jobs.insert(job);
+  if (jobs.size() < JobsToQuarantine ||
+      this->quarantined.size() >= WorkerHealth::maxQuarantined(workers))
+    return Verdict::Unchanged;
+  this->suspects.erase(worker);
+  this->quarantined[worker] = {now + FirstWait, FirstWait, false};
+  return Verdict::Quarantine;
+}
+
+WorkerHealth::Verdict WorkerHealth::onSuccess(const std::string &worker) {
+  this->suspects.erase(worker);
+  return this->quarantined.erase(worker) > 0 ? Verdict::Release : Verdict::Unchanged;
+}
+
+void WorkerHealth::onProbeAborted(const std::string &worker) {
+  const auto held = this->quarantined.find(worker);
+  if (held != this->quarantined.end())
+    held->second.probing = false;
+}
+
+void WorkerHealth::forgetJob(const std::unordered_set<std::string> &onWorkers, std::uint64_t job) {
+  for (const std::string &worker : onWorkers) {
+    const auto found = this->suspects.find(worker);
+    if (found == this->suspects.end())
+      continue;
+    found->second.erase(job);
+    if (found->second.empty())
+      this->suspects.erase(found);
+  }
+}
+
+std::vector<std::string> WorkerHealth::probesDue(TimePoint now) const {
+  std::vector<std::string> due;
+  for (const auto &[worker, record] : this->quarantined) {
+    if (!record.probing && record.probeAt <= now)
+      due.push_back(worker);
+  }
+  std::sort(due.begin(), due.end());
+  return due;
+}
+
+void WorkerHealth::onProbeStarted(const std::string &worker) {
+  const auto held = this->quarantined.find(worker);
+  if (held != this->quarantined.end())
+    held->second.probing = true;
+}
+
+bool WorkerHealth::isQuarantined(const std::string &worker) const {
+  return this->quarantined.count(worker) != 0;
+}
+
+} // namespace banyanrill::placement
