--- a/packages/routing/include/banyanrill/routing/ClaimTable.h
+++ b/packages/routing/include/banyanrill/routing/ClaimTable.h
@@ -70,7 +70,8 @@
   ClaimResult claim(const std::string &key, const std::string &digest, const ClaimHolder &holder,
                     std::int64_t logTimeMs);
 
-  /// Records the outcome if `holder` has the claim; returns whether it had.
+  /// Records the outcome if `holder` has the claim; returns whether it had. A repeated call of the
+  /// same holder returns true and keeps the first outcome.
   bool complete(const std::string &key, const ClaimHolder &holder, RecordedOutcome outcome,
                 std::int64_t logTimeMs);
 
--- a/packages/routing/include/banyanrill/routing/OwnerSelector.h
+++ b/packages/routing/include/banyanrill/routing/OwnerSelector.h
@@ -23,6 +23,8 @@
 struct OwnerSelectorOptions {
   /// Owners report at least every 2 s; three reports may be lost.
   base::Duration digestTimeout = std::chrono::seconds(7);
+  std::size_t owners = 64;             ///< Digests of more owners are ignored.
+  std::size_t servicesPerOwner = 4096; ///< Further services in a digest are ignored.
 };
 
 /// Pure decisions; not thread-safe: owned by the core task.
@@ -34,7 +36,8 @@
   OwnerSelector(OwnerSelector &&) noexcept;
   OwnerSelector &operator=(OwnerSelector &&) noexcept;
 
-  /// Replaces what is known of one owner. Older sequence numbers of one incarnation are ignored.
+  /// Replaces what is known of one owner. Older sequence numbers of one incarnation are ignored,
+  /// and so are lower incarnations until what is known has passed the digest timeout.
   void updateDigest(base::DaemonId owner, const Location &where, std::uint64_t incarnation,
                     std::uint64_t sequence, const std::vector<ServiceLoad> &loads,
                     base::TimePoint now);
@@ -44,7 +47,8 @@
   /// Best owner for one more request of the service, or `NoDaemon`. Counts the request against the
   /// reported free slots until the next digest. Order: this daemon, its data centre, its region,
   /// and other regions only with `crossRegion`; within one of these, the better of two random
-  /// owners with free slots; without free slots, the one with most slots.
+  /// owners with free slots; without free slots, the one with most slots, of this region if it has
+  /// any.
   base::DaemonId select(const std::string &team, const std::string &service, bool crossRegion,
                         const std::vector<base::DaemonId> &avoid, base::TimePoint now);
 
--- a/packages/routing/include/banyanrill/routing/RetryBudget.h
+++ b/packages/routing/include/banyanrill/routing/RetryBudget.h
@@ -18,7 +18,8 @@
   std::int32_t maxAttempts = 3;
 };
 
-/// Pure; not thread-safe: owned by the core task.
+/// Each second earns the share of its requests or the minimum, whichever is more; the minimum is
+/// credited at the end of the second. Pure; not thread-safe: owned by the core task.
 class RetryBudget {
 public:
   RetryBudget(RetryBudgetOptions options, base::TimePoint now);
@@ -38,6 +39,7 @@
   RetryBudgetOptions options;
   double tokens;
   base::TimePoint lastRefill;
+  double earnedInWindow = 0; ///< Tokens earned by requests since `lastRefill`.
 };
 
 } // namespace banyanrill::routing
