Add the HTTP event loop and client

The loop therefore passes on all registered headers and those listed in the new LoopOptions::customHeaders (idempotency-key and the banyanrill-* headers by default); other unregistered headers are dropped.

Chunked request bodies are decoded here, since the library decodes chunks only on its client side; their connections close after the answer.

Ruled out: a parser of our own over the library's raw sockets, which would duplicate the library.

--- a/packages/http/include/banyanrill/http/Loop.h
+++ b/packages/http/include/banyanrill/http/Loop.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace banyanrill::http {
 
@@ -41,6 +42,14 @@
   base::Duration receiveTimeout = std::chrono::seconds(10);
   /// Idle connections of callers are closed after this time.
   base::Duration keepAliveTimeout = std::chrono::seconds(60);
+  /// Lower-case names of non-standard headers that are passed on. libwebsockets 4.1 can look up an
+  /// unregistered header by name but cannot list those it received; others are dropped.
+  std::vector<std::string> customHeaders = {
+      "idempotency-key",    "banyanrill-deadline-ms", "banyanrill-request-id",
+      "banyanrill-verdict", "banyanrill-upstream",    "banyanrill-worker",
+      "banyanrill-demand",  "banyanrill-change-id",   "x-request-id",
+      "traceparent",
+  };
 };
 
 /// A request to an upstream or, from the operators' client, to a daemon.
--- /dev/null
+++ b/packages/http/src/Client.cpp
@@ -0,0 +1,49 @@
+#include "banyanrill/http/Client.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+namespace banyanrill::http {
+
+struct Client::State {
+  std::mutex mutex;
+  std::condition_variable arrived;
+  std::unordered_map<CallId, CallResult> results;
+  std::unique_ptr<Loop> loop; ///< Last member: destroyed first, since its thread adds results.
+};
+
+Client::Client(std::unique_ptr<State> owned) : state(std::move(owned)) {}
+
+Client::~Client() = default;
+
+base::Result<std::unique_ptr<Client>> Client::start() {
+  auto state = std::make_unique<State>();
+  LoopOptions options;
+  options.serve = false;
+  LoopHandlers handlers;
+  handlers.onCallResult = [target = state.get()](CallId id, CallResult result) {
+    {
+      std::lock_guard lock(target->mutex);
+      target->results.emplace(id, std::move(result));
+    }
+    target->arrived.notify_all();
+  };
+  auto loop = Loop::start(std::move(options), std::move(handlers));
+  if (!loop)
+    return loop.error();
+  state->loop = std::move(loop.value());
+  return std::unique_ptr<Client>(new Client(std::move(state)));
+}
+
+CallResult Client::call(Call call) {
+  const CallId id = this->state->loop->call(std::move(call));
+  std::unique_lock lock(this->state->mutex);
+  this->state->arrived.wait(lock, [this, id] { return this->state->results.count(id) != 0; });
+  CallResult result = std::move(this->state->results.at(id));
+  this->state->results.erase(id);
+  return result;
+}
+
+} // namespace banyanrill::http
--- /dev/null
+++ b/packages/http/src/Server.cpp
@@ -0,0 +1,375 @@
+#include "Server.h"
+
+#include "HeaderReader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace banyanrill::http {
+
+namespace {
+
+/// Large bodies are written in pieces of this size, so that one caller cannot delay the others.
+constexpr std::size_t WritePieceBytes = 64 * 1024;
+
+/// How long a caller that was answered before it had sent its whole body may take to close; a
+/// close by this side with unread bytes would reset the connection and could destroy the answer.
+constexpr base::Duration LingerTimeout = std::chrono::seconds(2);
+
+std::optional<std::uint64_t> parseLength(std::string_view text) {
+  if (text.empty() || text.size() > 15)
+    return std::nullopt;
+  std::uint64_t value = 0;
+  for (const char digit : text) {
+    if (digit < '0' || digit > '9')
+      return std::nullopt;
+    value = value * 10 + static_cast<std::uint64_t>(digit - '0');
+  }
+  return value;
+}
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](char a, char b) { return (a | 0x20) == (b | 0x20); });
+}
+
+std::size_t sizeOf(const Request &request) {
+  std::size_t size = request.method.size() + request.path.size() + request.query.size();
+  for (const auto &[name, value] : request.headers)
+    size += name.size() + value.size() + 4;
+  return size;
+}
+
+void setTimer(lws *wsi, base::Duration duration) { lws_set_timer_usecs(wsi, duration.count()); }
+
+void cancelTimer(lws *wsi) { lws_set_timer_usecs(wsi, LWS_SET_TIMER_USEC_CANCEL); }
+
+std::string_view reasonPhrase(int status) {
+  switch (status) {
+  case 200:
+    return "OK";
+  case 201:
+    return "Created";
+  case 202:
+    return "Accepted";
+  case 204:
+    return "No Content";
+  case 400:
+    return "Bad Request";
+  case 401:
+    return "Unauthorized";
+  case 403:
+    return "Forbidden";
+  case 404:
+    return "Not Found";
+  case 405:
+    return "Method Not Allowed";
+  case 409:
+    return "Conflict";
+  case 410:
+    return "Gone";
+  case 413:
+    return "Content Too Large";
+  case 422:
+    return "Unprocessable Content";
+  case 429:
+    return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 500:
+    return "Internal Server Error";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Status";
+  }
+}
+
+bool hasLineBreak(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
+}
+
+} // namespace
+
+Server::Server(const LoopOptions &loopOptions, const LoopHandlers &loopHandlers)
+    : options(loopOptions), handlers(loopHandlers) {}
+
+int Server::onEvent(lws *wsi, lws_callback_reasons reason, void *input, std::size_t length) {
+  switch (reason) {
+  case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+    this->connectionOf(wsi);
+    setTimer(wsi, this->options.receiveTimeout);
+    return 0;
+  case LWS_CALLBACK_HTTP:
+    return this->onHead(this->connectionOf(wsi));
+  case LWS_CALLBACK_HTTP_BODY:
+    return this->onBody(this->connectionOf(wsi), {static_cast<const char *>(input), length});
+  case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+    return this->onBodyComplete(this->connectionOf(wsi));
+  case LWS_CALLBACK_HTTP_WRITEABLE:
+    return this->onWritable(this->connectionOf(wsi));
+  case LWS_CALLBACK_TIMER:
+    return this->onTimer(this->connectionOf(wsi));
+  case LWS_CALLBACK_CLOSED_HTTP:
+  case LWS_CALLBACK_WSI_DESTROY:
+    this->onClosed(wsi);
+    return 0;
+  default:
+    return 0;
+  }
+}
+
+Server::Connection &Server::connectionOf(lws *wsi) {
+  std::unique_ptr<Connection> &connection = this->connections[wsi];
+  if (!connection) {
+    connection = std::make_unique<Connection>();
+    connection->wsi = wsi;
+  }
+  return *connection;
+}
+
+int Server::onHead(Connection &connection) {
+  lws *wsi = connection.wsi;
+  connection = Connection();
+  connection.wsi = wsi;
+  setTimer(wsi, this->options.receiveTimeout);
+
+  std::optional<Request> request = readRequestHead(wsi, this->options.customHeaders);
+  if (!request) {
+    this->refuse(connection, 400, "malformed", "The method is not supported.");
+    return 0;
+  }
+  connection.request = std::move(*request);
+  const Headers &headers = connection.request.headers;
+  const std::string lengthText = findHeader(headers, "content-length");
+  const std::string coding = findHeader(headers, "transfer-encoding");
+  const std::string &method = connection.request.method;
+  const bool mayHaveBody = method == "POST" || method == "PUT" || method == "PATCH";
+
+  if (sizeOf(connection.request) > this->options.maxHeadBytes) {
+    this->refuse(connection, 431, "too-large", "The head of the request is too large.");
+    return 0;
+  }
+  if (!coding.empty()) {
+    // libwebsockets reads a body without a length only after these methods; after others the chunks
+    // would be taken for the next request.
+    if (!mayHaveBody || !lengthText.empty() || !equalsIgnoringCase(coding, "chunked")) {
+      this->refuse(connection, 400, "malformed",
+                   "Transfer-Encoding must be chunked, without Content-Length, and the method "
+                   "POST, PUT or PATCH.");
+      return 0;
+    }
+    connection.bodyKind = BodyKind::Chunked;
+    connection.closeAfterResponse = true;
+  } else if (!lengthText.empty()) {
+    const std::optional<std::uint64_t> bodyLength = parseLength(lengthText);
+    if (!bodyLength) {
+      this->refuse(connection, 400, "malformed", "Content-Length is not a number.");
+      return 0;
+    }
+    if (*bodyLength > this->options.maxBodyBytes) {
+      this->refuse(connection, 413, "too-large", "The body of the request is too large.");
+      return 0;
+    }
+    connection.bodyLength = *bodyLength;
+  } else if (mayHaveBody) {
+    // There is no body, but libwebsockets waits for one until the connection closes.
+    connection.closeAfterResponse = true;
+  }
+  if (this->draining) {
+    this->refuse(connection, 503, "unavailable", "This instance is stopping.");
+    return 0;
+  }
+  if (this->openCount.load() >= this->options.maxExchanges) {
+    this->refuse(connection, 503, "limit-reached", "Too many requests are open.");
+    return 0;
+  }
+  if (connection.bodyKind == BodyKind::Length && connection.bodyLength == 0) {
+    this->deliver(connection);
+    return 0;
+  }
+  if (equalsIgnoringCase(findHeader(headers, "expect"), "100-continue")) {
+    std::string interim = std::string(LWS_PRE, '\0') + "HTTP/1.1 100 Continue\r\n\r\n";
+    auto *start = reinterpret_cast<unsigned char *>(interim.data()) + LWS_PRE;
+    if (lws_write(wsi, start, interim.size() - LWS_PRE, LWS_WRITE_HTTP_HEADERS) < 0)
+      return -1;
+  }
+  return 0;
+}
+
+int Server::onBody(Connection &connection, std::string_view input) {
+  if (connection.bodyKind == BodyKind::Discarded || !connection.receiving)
+    return 0;
+  std::string &body = connection.request.body;
+  if (connection.bodyKind == BodyKind::Length) {
+    body.append(input);
+    assert(body.size() <= this->options.maxBodyBytes);
+    return 0;
+  }
+  const ChunkedDecoder::State state = connection.decoder.feed(input, body);
+  if (state == ChunkedDecoder::State::Malformed)
+    this->refuse(connection, 400, "malformed", "The chunked body is malformed.");
+  else if (body.size() > this->options.maxBodyBytes)
+    this->refuse(connection, 413, "too-large", "The body of the request is too large.");
+  else if (state == ChunkedDecoder::State::Complete)
+    this->deliver(connection);
+  return 0;
+}
+
+int Server::onBodyComplete(Connection &connection) {
+  if (connection.bodyKind == BodyKind::Length && connection.receiving)
+    this->deliver(connection);
+  return 0;
+}
+
+void Server::deliver(Connection &connection) {
+  connection.receiving = false;
+  cancelTimer(connection.wsi);
+  // A long poll may stay open for any time; the caller of `respond` bounds it.
+  lws_set_timeout(connection.wsi, NO_PENDING_TIMEOUT, 0);
+  connection.exchange = ++this->lastExchange;
+  this->exchanges.emplace(connection.exchange, &connection);
+  ++this->openCount;
+  if (this->stopped || !this->handlers.onRequest)
+    return;
+  // The method is kept: the answer to HEAD has no body.
+  Request request = std::move(connection.request);
+  connection.request = Request();
+  connection.request.method = request.method;
+  this->handlers.onRequest(connection.exchange, std::move(request));
+}
+
+void Server::refuse(Connection &connection, int status, std::string_view code,
+                    std::string_view message) {
+  connection.bodyKind = BodyKind::Discarded;
+  connection.closeAfterResponse = true;
+  Response response;
+  response.status = status;
+  response.headers = {{"content-type", "application/json"}, {"banyanrill-verdict", "did-not-run"}};
+  if (status == 503)
+    response.headers.emplace_back("retry-after", "1");
+  response.body.append(R"({"error":{"code":")").append(code).append(R"(","message":")");
+  response.body.append(message).append(R"("},"verdict":"did-not-run"})");
+  this->send(connection, std::move(response));
+}
+
+void Server::send(Connection &connection, Response response) {
+  connection.response = std::move(response);
+  setTimer(connection.wsi, this->options.receiveTimeout);
+  lws_callback_on_writable(connection.wsi);
+}
+
+void Server::respond(ExchangeId exchange, Response response) {
+  const auto found = this->exchanges.find(exchange);
+  if (found == this->exchanges.end() || found->second->response)
+    return;
+  if (this->draining)
+    found->second->closeAfterResponse = true;
+  this->send(*found->second, std::move(response));
+}
+
+void Server::abort(ExchangeId exchange) {
+  const auto found = this->exchanges.find(exchange);
+  if (found == this->exchanges.end())
+    return;
+  Connection &connection = *found->second;
+  this->closeExchange(connection);
+  connection.response.reset();
+  lws_set_timeout(connection.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+void Server::drain() { this->draining = true; }
+
+void Server::stop() { this->stopped = true; }
+
+std::string Server::composeHead(const Connection &connection) const {
+  const Response &response = *connection.response;
+  std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ';
+  head.append(reasonPhrase(response.status)).append("\r\n");
+  for (const auto &[name, value] : response.headers) {
+    if (name == "content-length" || name == "connection" || name == "transfer-encoding")
+      continue;
+    // A line break would let a value forge headers.
+    if (hasLineBreak(name) || hasLineBreak(value))
+      continue;
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  head += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+  if (connection.closeAfterResponse)
+    head += "connection: close\r\n";
+  return head + "\r\n";
+}
+
+int Server::onWritable(Connection &connection) {
+  if (!connection.response || connection.lingering)
+    return 0;
+  const std::string &body = connection.response->body;
+  const std::size_t bodySize = connection.request.method == "HEAD" ? 0 : body.size();
+  if (connection.headWritten && connection.bodyWritten == bodySize)
+    return this->onResponseWritten(connection);
+
+  std::string piece(LWS_PRE, '\0');
+  if (!connection.headWritten)
+    piece += this->composeHead(connection);
+  const std::size_t taken = std::min(bodySize - connection.bodyWritten, WritePieceBytes);
+  piece.append(body, connection.bodyWritten, taken);
+  connection.headWritten = true;
+  connection.bodyWritten += taken;
+  auto *start = reinterpret_cast<unsigned char *>(piece.data()) + LWS_PRE;
+  if (lws_write(connection.wsi, start, piece.size() - LWS_PRE, LWS_WRITE_HTTP) < 0)
+    return -1;
+  setTimer(connection.wsi, this->options.receiveTimeout);
+  if (connection.bodyWritten == bodySize && lws_partial_buffered(connection.wsi) == 0)
+    return this->onResponseWritten(connection);
+  lws_callback_on_writable(connection.wsi);
+  return 0;
+}
+
+int Server::onResponseWritten(Connection &connection) {
+  this->closeExchange(connection);
+  connection.response->body = {};
+  if (!connection.closeAfterResponse) {
+    connection.response.reset();
+    connection.receiving = true;
+    setTimer(connection.wsi, this->options.keepAliveTimeout);
+    return lws_http_transaction_completed(connection.wsi) != 0 ? -1 : 0;
+  }
+  if (connection.bodyKind != BodyKind::Discarded)
+    return -1;
+  connection.lingering = true;
+  setTimer(connection.wsi, LingerTimeout);
+  return 0;
+}
+
+int Server::onTimer(Connection &connection) {
+  // While a handler works on the request no timer is set, except by an older event.
+  return connection.exchange != 0 && !connection.response ? 0 : -1;
+}
+
+void Server::closeExchange(Connection &connection) {
+  if (connection.exchange == 0)
+    return;
+  this->exchanges.erase(connection.exchange);
+  connection.exchange = 0;
+  assert(this->openCount.load() > 0);
+  --this->openCount;
+}
+
+void Server::onClosed(lws *wsi) {
+  const auto found = this->connections.find(wsi);
+  if (found == this->connections.end())
+    return;
+  const ExchangeId exchange = found->second->exchange;
+  this->closeExchange(*found->second);
+  this->connections.erase(found);
+  if (exchange != 0 && !this->stopped && this->handlers.onDisconnect)
+    this->handlers.onDisconnect(exchange);
+}
+
+} // namespace banyanrill::http
--- /dev/null
+++ b/packages/http/src/Server.h
@@ -0,0 +1,81 @@
+// Server side of the loop: exchanges with callers.
+#pragma once
+
+#include "ChunkedDecoder.h"
+#include "banyanrill/http/Loop.h"
+
+#include <atomic>
+#include <libwebsockets.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace banyanrill::http {
+
+/// Turns events of libwebsockets into requests, and responses into writes. Loop thread only, except
+/// `openExchanges`.
+class Server {
+public:
+  Server(const LoopOptions &options, const LoopHandlers &handlers);
+
+  /// Handles one callback of a connection. Nonzero: libwebsockets closes the connection.
+  int onEvent(lws *wsi, lws_callback_reasons reason, void *input, std::size_t length);
+
+  void respond(ExchangeId exchange, Response response);
+  void abort(ExchangeId exchange);
+  void drain();
+
+  /// After this no handler is called.
+  void stop();
+
+  std::size_t openExchanges() const { return this->openCount.load(); }
+
+private:
+  enum class BodyKind {
+    Length,   ///< Content-Length, or none.
+    Chunked,  ///< libwebsockets passes the encoded bytes on.
+    Discarded ///< The request has been answered already.
+  };
+
+  struct Connection {
+    lws *wsi = nullptr;
+    ExchangeId exchange = 0; ///< 0: none is open.
+    Request request;
+    BodyKind bodyKind = BodyKind::Length;
+    ChunkedDecoder decoder;
+    std::uint64_t bodyLength = 0; ///< Bytes still to be received from the connection.
+    bool receiving = true;        ///< Head or body is not complete.
+    bool closeAfterResponse = false;
+    std::optional<Response> response;
+    bool headWritten = false;
+    std::size_t bodyWritten = 0;
+    bool lingering = false; ///< Answered early; waits for the caller to close.
+  };
+
+  Connection &connectionOf(lws *wsi);
+  int onHead(Connection &connection);
+  int onBody(Connection &connection, std::string_view input);
+  int onBodyComplete(Connection &connection);
+  int onWritable(Connection &connection);
+  int onResponseWritten(Connection &connection);
+  int onTimer(Connection &connection);
+  void onClosed(lws *wsi);
+  void deliver(Connection &connection);
+  void refuse(Connection &connection, int status, std::string_view code, std::string_view message);
+  void send(Connection &connection, Response response);
+  void closeExchange(Connection &connection);
+  std::string composeHead(const Connection &connection) const;
+
+  const LoopOptions &options;
+  const LoopHandlers &handlers;
+  std::unordered_map<lws *, std::unique_ptr<Connection>> connections;
+  std::unordered_map<ExchangeId, Connection *> exchanges;
+  std::atomic<std::size_t> openCount = 0;
+  ExchangeId lastExchange = 0;
+  bool draining = false;
+  bool stopped = false;
+};
+
+} // namespace banyanrill::http
