Run the daemon's replication against the storage and consensus packages

Cause: an assertion of the replica failed at the first write, because the core computed the confirmed index itself. Ruled out: a fault of the replica; its output names the index and allows one write at a time.

--- a/packages/control/src/State.cpp
+++ b/packages/control/src/State.cpp
@@ -104,7 +104,8 @@
 
 Result State::run(const AssignOwners &command) {
   settings::Change change;
-  change.requestId = "owners-" + std::to_string(this->batches);
+  // Operators' identifiers hold the token's name before the slash, so none of them equals this one.
+  change.requestId = "/owners-" + std::to_string(this->batches);
   change.author = "system";
   change.wallClockMs = this->timeMs;
   for (const OwnerAssignment &assignment : command.assignments) {
--- a/packages/daemon/include/banyanrill/daemon/Action.h
+++ b/packages/daemon/include/banyanrill/daemon/Action.h
@@ -35,13 +35,14 @@
   http::Call call;
 };
 
-/// Make durable, then report `StorageDone` with the same index and term.
+/// Make durable, then report `StorageDone` with the same index and term if `confirm` is set.
 struct StoreBatch {
   std::optional<consensus::HardState> hardState;
   std::optional<consensus::Snapshot> snapshot;
   std::vector<consensus::Entry> entries;
   consensus::Index index = 0;
   consensus::Term term = 0;
+  bool confirm = false;
 };
 
 using Action = std::variant<SendMessage, RespondExchange, StartCall, StoreBatch>;
--- a/packages/daemon/include/banyanrill/daemon/Core.h
+++ b/packages/daemon/include/banyanrill/daemon/Core.h
@@ -23,10 +23,12 @@
 public:
   /// \param stored state found on disk, on replicas only.
   /// \param seed seeds all decisions; must differ between runs in production.
+  /// \param incarnation number of this run; must be higher than that of any earlier run.
   /// Errors: DataCorrupted if the stored snapshot cannot be read.
   static base::Result<std::unique_ptr<Core>> create(const Config &config,
                                                     std::optional<consensus::StoredState> stored,
-                                                    std::uint64_t seed, base::TimePoint now);
+                                                    std::uint64_t seed, std::uint64_t incarnation,
+                                                    base::TimePoint now);
 
   /// Handles one event and returns the actions to take, in order.
   std::vector<Action> handle(CoreEvent event, base::TimePoint now, std::int64_t wallClockMs);
@@ -36,7 +38,7 @@
 
   bool isStopping() const { return this->stopping; }
 
-  /// Random number of this run, which its messages carry.
+  /// Number of this run, which its messages carry.
   std::uint64_t ownIncarnation() const { return this->incarnation; }
 
   /// While stopping: whether every worker has been handed over, or that took too long.
@@ -55,7 +57,7 @@
 
 private:
   Core(const Config &config, std::optional<consensus::StoredState> stored, std::uint64_t seed,
-       base::TimePoint now);
+       std::uint64_t incarnation, base::TimePoint now);
 
   void on(PeerEvent &event);
   void on(RequestEvent &event);
--- a/packages/daemon/include/banyanrill/daemon/StorageTask.h
+++ b/packages/daemon/include/banyanrill/daemon/StorageTask.h
@@ -28,7 +28,7 @@
 
 private:
   void run();
-  bool write(std::vector<StoreBatch> batches);
+  bool write(StoreBatch batch);
 
   storage::LogStore store;
   std::function<void(CoreEvent)> report;
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -42,8 +42,9 @@
 
 base::Result<std::unique_ptr<Core>> Core::create(const Config &config,
                                                  std::optional<consensus::StoredState> stored,
-                                                 std::uint64_t seed, base::TimePoint now) {
-  std::unique_ptr<Core> core(new Core(config, stored, seed, now));
+                                                 std::uint64_t seed, std::uint64_t incarnation,
+                                                 base::TimePoint now) {
+  std::unique_ptr<Core> core(new Core(config, stored, seed, incarnation, now));
   if (!stored)
     return core;
   if (const base::Status status = core->log->load(*stored); !status)
@@ -53,9 +54,9 @@
 }
 
 Core::Core(const Config &settingsFile, std::optional<consensus::StoredState> stored,
-           std::uint64_t seed, base::TimePoint now)
+           std::uint64_t seed, std::uint64_t runNumber, base::TimePoint now)
     : config(settingsFile), context{this->config, now, 0, base::RandomSource(seed), {}, 0},
-      incarnation(this->context.random.next()), proposals(this->context), gateway(this->context),
+      incarnation(runNumber), proposals(this->context), gateway(this->context),
       ownerRequests(this->context, this->gateway,
                     std::to_string(settingsFile.daemon) + "." + std::to_string(this->incarnation)),
       entryRequests(this->context, this->proposals),
--- a/packages/daemon/src/Operators.cpp
+++ b/packages/daemon/src/Operators.cpp
@@ -68,9 +68,13 @@
         edit.expectedVersion = listed.at("if_version").get<settings::Revision>();
       change.edits.push_back(std::move(edit));
     }
-    if (change.requestId.empty() || change.requestId.size() > 128 || change.edits.empty())
+    constexpr std::size_t MaxChangeId = 60;
+    const bool validId = !change.requestId.empty() && change.requestId.size() <= MaxChangeId &&
+                         change.requestId.find('/') == std::string::npos;
+    if (!validId || change.edits.empty())
       return base::Error{base::Errc::Malformed, "/",
-                         "change_id must have 1 to 128 bytes and edits at least one element"};
+                         "change_id must have 1 to 60 characters without a slash, and edits at "
+                         "least one element"};
     return change;
   } catch (const json::exception &failure) {
     return base::Error{base::Errc::Malformed, "/", failure.what()};
@@ -208,6 +212,8 @@
   }
   settings::Change change = std::move(parsed.value());
   change.author = identity.name;
+  // Operators choose identifiers independently of each other.
+  change.requestId = identity.name + "/" + change.requestId;
   change.wallClockMs = this->context.wallClockMs;
   for (const settings::Edit &edit : change.edits) {
     if (mayWrite(identity, edit.path))
--- a/packages/daemon/src/Replication.cpp
+++ b/packages/daemon/src/Replication.cpp
@@ -166,8 +166,9 @@
   }
   if (output.mustStore()) {
     StoreBatch store;
-    store.index = this->log.lastIndex();
-    store.term = output.entries.empty() ? this->log.term() : output.entries.back().term;
+    store.index = output.storedIndex;
+    store.term = output.storedTerm;
+    store.confirm = true;
     store.hardState = output.hardState;
     store.snapshot = output.snapshot;
     store.entries = std::move(output.entries);
@@ -231,12 +232,10 @@
 }
 
 void Replication::takeSnapshot() {
-  consensus::Snapshot snapshot{this->applied, this->appliedTerm, this->log.membership(),
-                               this->controlState.save()};
+  consensus::Snapshot snapshot{this->applied, this->appliedTerm,
+                               this->log.membershipAt(this->applied), this->controlState.save()};
   this->snapshotIndex = this->applied;
   StoreBatch store;
-  store.index = this->log.lastIndex();
-  store.term = this->log.term();
   store.snapshot = snapshot;
   this->context.actions.emplace_back(std::move(store));
   this->log.compact(std::move(snapshot));
--- a/packages/daemon/src/Runtime.cpp
+++ b/packages/daemon/src/Runtime.cpp
@@ -107,7 +107,8 @@
       return status;
   }
   base::Result<std::unique_ptr<Core>> created =
-      Core::create(this->config, std::move(stored), systemSeed(), base::steadyNow());
+      Core::create(this->config, std::move(stored), systemSeed(),
+                   static_cast<std::uint64_t>(wallClockMs()), base::steadyNow());
   if (!created)
     return created.error();
   this->core = std::move(created.value());
--- a/packages/daemon/src/StorageTask.cpp
+++ b/packages/daemon/src/StorageTask.cpp
@@ -2,14 +2,12 @@
 
 #include "banyanrill/wire/Codec.h"
 
-#include <iterator>
-
 namespace banyanrill::daemon {
 
 namespace {
 
-/// The replica bounds its uncommitted entries far below this.
-constexpr std::size_t MailboxCapacity = 65536;
+/// A replica has one write outstanding; the others are its own snapshots.
+constexpr std::size_t MailboxCapacity = 16;
 
 storage::StoredEntry toStored(consensus::Entry entry) {
   return {entry.index, entry.term, static_cast<std::uint8_t>(entry.kind), std::move(entry.payload)};
@@ -20,23 +18,6 @@
           std::move(entry.payload)};
 }
 
-/// Whether `next` only adds to `batch`, so that one write and one sync serve both.
-bool canMerge(const StoreBatch &batch, const StoreBatch &next) {
-  if (batch.snapshot || next.snapshot)
-    return false;
-  return batch.entries.empty() || next.entries.empty() ||
-         next.entries.front().index == batch.entries.back().index + 1;
-}
-
-void merge(StoreBatch &batch, StoreBatch next) {
-  if (next.hardState)
-    batch.hardState = next.hardState;
-  batch.entries.insert(batch.entries.end(), std::make_move_iterator(next.entries.begin()),
-                       std::make_move_iterator(next.entries.end()));
-  batch.index = next.index;
-  batch.term = next.term;
-}
-
 storage::Batch toStorage(StoreBatch batch) {
   storage::Batch stored;
   if (batch.hardState)
@@ -98,36 +79,27 @@
 
 void StorageTask::run() {
   while (true) {
-    std::vector<StoreBatch> batches;
-    bool last = false;
     for (std::optional<StoreBatch> &message :
          this->mailbox.receive(base::steadyNow() + std::chrono::seconds(1))) {
-      if (message)
-        batches.push_back(std::move(*message));
-      else
-        last = true;
+      if (!message || !this->write(std::move(*message)))
+        return;
     }
-    if (!this->write(std::move(batches)) || last)
-      return;
   }
 }
 
-bool StorageTask::write(std::vector<StoreBatch> batches) {
-  for (std::size_t i = 0; i < batches.size();) {
-    StoreBatch merged = std::move(batches[i++]);
-    while (i < batches.size() && canMerge(merged, batches[i]))
-      merge(merged, std::move(batches[i++]));
-    const StorageDone done{merged.index, merged.term};
-    const bool hasSnapshot = merged.snapshot.has_value();
-    base::Status status = this->store.write(toStorage(std::move(merged)));
-    if (status && hasSnapshot)
-      status = this->store.removeObsolete();
-    if (!status) {
-      this->report(StorageFailed{status.error().path + ": " + status.error().message});
-      return false;
-    }
-    this->report(done);
+bool StorageTask::write(StoreBatch batch) {
+  const StorageDone done{batch.index, batch.term};
+  const bool confirm = batch.confirm;
+  const bool hasSnapshot = batch.snapshot.has_value();
+  base::Status status = this->store.write(toStorage(std::move(batch)));
+  if (status && hasSnapshot)
+    status = this->store.removeObsolete();
+  if (!status) {
+    this->report(StorageFailed{status.error().path + ": " + status.error().message});
+    return false;
   }
+  if (confirm)
+    this->report(done);
   return true;
 }
 
--- a/packages/http/include/banyanrill/http/Loop.h
+++ b/packages/http/include/banyanrill/http/Loop.h
@@ -45,9 +45,10 @@
   /// Lower-case names of non-standard headers that are passed on. libwebsockets 4.1 can look up an
   /// unregistered header by name but cannot list those it received; others are dropped.
   std::vector<std::string> customHeaders = {
-      "idempotency-key",    "banyanrill-deadline-ms", "banyanrill-request-id",
-      "banyanrill-verdict", "banyanrill-upstream",    "banyanrill-worker",
-      "banyanrill-demand",  "banyanrill-change-id",   "x-request-id",
+      "idempotency-key",      "banyanrill-deadline-ms", "banyanrill-request-id",
+      "banyanrill-verdict",   "banyanrill-upstream",    "banyanrill-worker",
+      "banyanrill-demand",    "banyanrill-change-id",   "banyanrill-owner",
+      "banyanrill-passed-by", "banyanrill-replayed",    "x-request-id",
       "traceparent",
   };
 };
