--- /dev/null
+++ b/tools/cell.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Functions that start and stop a small cell on loopback; sourced by demo.sh and bench.sh.
+
+# write_cell FOLDER: writes settings files for 9 daemons in two regions, 5 of them replicas, and the
+# variables HTTP_PORTS and ADMIN_TOKEN. Needs BUILD. Ports are chosen by the kernel.
+write_cell() {
+  local folder=$1
+  local regions=(vidzeme vidzeme vidzeme vidzeme vidzeme vidzeme vidzeme latgale latgale)
+  local centres=(riga-a riga-a riga-a riga-a sigulda-a sigulda-a sigulda-a daugavpils-a daugavpils-a)
+  local replicas=(true true false false true true false true false)
+  local ports digest peers="" i
+  ADMIN_TOKEN=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
+  digest=$(printf %s "$ADMIN_TOKEN" | sha256sum | cut -d' ' -f1)
+  read -r -a ports <<<"$("$BUILD"/tests/standins/standin_ports 18)"
+  HTTP_PORTS=("${ports[@]:9:9}")
+  for i in {0..8}; do
+    peers+="{\"daemon\":$((i + 1)),\"region\":\"${regions[i]}\",\"data_centre\":\"${centres[i]}\","
+    peers+="\"address\":\"127.0.0.1\",\"peer_port\":${ports[i]},\"http_port\":${HTTP_PORTS[i]},"
+    peers+="\"replica\":${replicas[i]}},"
+  done
+  for i in {0..8}; do
+    printf '{"cell":"demo","daemon":%d,"admin_token_sha256":"%s","data_folder":"%s","peers":[%s]}\n' \
+      $((i + 1)) "$digest" "$folder/data-$((i + 1))" "${peers%,}" >"$folder/daemon-$((i + 1)).json"
+  done
+  printf %s "$ADMIN_TOKEN" >"$folder/token"
+  ENTRIES=$(printf '"127.0.0.1:%s",' "${HTTP_PORTS[@]}")
+  ENTRIES=${ENTRIES%,}
+}
+
+# start_daemon FOLDER NUMBER: starts one daemon and remembers its process in DAEMON_PIDS.
+declare -A DAEMON_PIDS
+start_daemon() {
+  "$BUILD"/banyanrilld "$1/daemon-$2.json" 2>>"$1/daemon-$2.log" &
+  DAEMON_PIDS[$2]=$!
+}
+
+# client ARGUMENTS: runs the operators' client against all daemons.
+client() {
+  local servers=() port
+  for port in "${HTTP_PORTS[@]}"; do servers+=(--server "127.0.0.1:$port"); done
+  "$BUILD"/banyanrill "${servers[@]}" --token-file "$CELL/token" "$@"
+}
+
+# wait_until SECONDS COMMAND...: repeats the command until it succeeds.
+wait_until() {
+  local deadline=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if ((SECONDS >= deadline)); then
+      echo "timed out: $*" >&2
+      return 1
+    fi
+    sleep 0.2
+  done
+}
+
+# stop_all: ends every process that this shell started.
+stop_all() {
+  local pids
+  pids=$(jobs -p)
+  if [ -n "$pids" ]; then
+    kill -KILL $pids 2>/dev/null || true
+    wait 2>/dev/null || true
+  fi
+}
