--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -186,6 +186,16 @@
     }
   }
   lws_vhost *vhost = lws_create_vhost(this->context, &info);
+  if (vhost == nullptr && !tls.certificate.empty()) {
+    // The library does not say what failed; without TLS only the address can.
+    info.options =
+        info.options & ~std::uint64_t(LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT);
+    info.ssl_cert_filepath = info.ssl_private_key_filepath = info.ssl_ca_filepath = nullptr;
+    info.vhost_name = "address-check";
+    if (lws_create_vhost(this->context, &info) != nullptr)
+      return base::Error{base::Errc::Malformed, tls.certificate,
+                         "The certificate, private key or authority is not usable."};
+  }
   if (vhost == nullptr)
     return unavailable("Cannot listen on " + this->options.listenAddress + ':' +
                        std::to_string(this->options.port) + '.');
