--- a/packages/routing/include/banyanrill/routing/ClaimTable.h
+++ b/packages/routing/include/banyanrill/routing/ClaimTable.h
@@ -51,7 +51,7 @@
   std::size_t claims = 65536;
   std::size_t bodyBytes = 4096;
   /// Callers resend for minutes at most; ten minutes cover a region cut and a manual retry.
-  std::int64_t retentionMs = 10 * 60 * 1000;
+  std::int64_t retentionMs = std::int64_t{10} * 60 * 1000;
 };
 
 /// Deterministic: time is the log's own clock (milliseconds in the entries, never decreasing), not
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -64,7 +64,7 @@
   std::unordered_map<std::string, Place> places; ///< By request identifier.
 
   /// Takes one request out; removes the containers that it leaves empty.
-  QueuedRequest take(const Place &place, std::deque<QueuedRequest>::iterator at) {
+  QueuedRequest take(const Place &place, const std::deque<QueuedRequest>::iterator &at) {
     ServiceQueue &queue = this->services.at(place.service);
     PriorityClass &level = queue.at(place.priority);
     std::deque<QueuedRequest> &requests = level.teams.at(place.team);
