--- a/packages/placement/src/Model.h
+++ b/packages/placement/src/Model.h
@@ -23,7 +23,8 @@
   Job *job = nullptr;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskRef &) const = default;
+  bool operator==(const TaskRef &) const = default;
+  bool operator<(const TaskRef &other) const;
 };
 
 struct Task {
@@ -80,4 +81,10 @@
   bool isService() const { return this->spec.kind == JobKind::Service; }
 };
 
+/// By number, not by address, so that a run can be replayed from its seed.
+inline bool TaskRef::operator<(const TaskRef &other) const {
+  return this->job->serial != other.job->serial ? this->job->serial < other.job->serial
+                                                : this->index < other.index;
+}
+
 } // namespace banyanrill::placement
--- a/packages/placement/src/PlaceJob.cpp
+++ b/packages/placement/src/PlaceJob.cpp
@@ -29,8 +29,6 @@
 // A checkpoint takes 2 s at most; the rest covers an owner's poll and reports.
 constexpr Duration ClaimTime = std::chrono::seconds(20);
 
-bool covers(const Resources &larger, const Resources &smaller) { return smaller.fitsIn(larger); }
-
 } // namespace
 
 bool PlannerCore::queryOf(const Job &job, const Round &round, Query &query) const {
@@ -61,15 +59,16 @@
 }
 
 std::uint32_t PlannerCore::findWorker(const Job &job, const Query &query, Round &round) {
+  const bool mayUseReserve = query.useAcceleratorReserve || query.demand.accelerators > 0;
   for (const FailedShape &shape : round.failedShapes) {
-    if (covers(query.demand, shape.demand) && shape.zones == query.zones &&
-        (shape.useAcceleratorReserve || !query.useAcceleratorReserve))
+    if (shape.demand.fitsIn(query.demand) && shape.zones == query.zones &&
+        (shape.usedReserve || !mayUseReserve))
       return NoWorker;
   }
   const std::uint32_t slot = job.isService() ? this->workers.spreadFit(query, job, this->random)
                                              : this->workers.bestFit(query);
   if (slot == NoWorker && query.avoidFor == nullptr && query.avoid == NoWorker)
-    round.failedShapes.push_back({query.demand, query.zones, query.useAcceleratorReserve});
+    round.failedShapes.push_back({query.demand, query.zones, mayUseReserve});
   return slot;
 }
 
--- a/packages/placement/src/PlanRound.cpp
+++ b/packages/placement/src/PlanRound.cpp
@@ -51,6 +51,11 @@
     this->endJob(job, false, "deadline exceeded");
     this->settle(job);
   }
+  for (const std::string &worker : this->health.releaseUnprobed(now)) {
+    const std::uint32_t slot = this->workers.find(base::WorkerId{worker});
+    if (slot != NoWorker)
+      this->workers.setQuarantined(slot, false);
+  }
   while (!this->unconfirmedStops.empty() && this->unconfirmedStops.front().at <= now) {
     this->otherStops.push_back(std::move(this->unconfirmedStops.front()));
     this->unconfirmedStops.pop_front();
@@ -194,8 +199,6 @@
   bool progress = true;
   while (progress && this->budget(round) > 0) {
     progress = false;
-    round.blocked = nullptr;
-    round.blockedAgain = nullptr;
     const std::vector<Job *> window = this->queue.window(WindowSize);
     for (const bool borrowing : {false, true}) {
       for (Job *job : window) {
--- a/packages/placement/src/PlannerCore.h
+++ b/packages/placement/src/PlannerCore.h
@@ -75,7 +75,7 @@
   struct FailedShape {
     base::Resources demand;
     std::vector<std::uint32_t> zones;
-    bool useAcceleratorReserve = false;
+    bool usedReserve = false; ///< Of accelerators; else a search that may use it can succeed.
   };
   /// What one call of `plan` keeps while it runs.
   struct Round {
--- a/packages/placement/src/Preemption.cpp
+++ b/packages/placement/src/Preemption.cpp
@@ -19,6 +19,7 @@
 struct Candidate {
   double cost = 0;
   Eviction eviction;
+  std::size_t evaluatedAfter = 0; ///< Slots taken before it was evaluated.
 };
 
 /// What earlier slots of the same search have already taken and freed.
@@ -74,7 +75,7 @@
   const auto taken = overlay.taken.find(slot);
   if (taken != overlay.taken.end())
     free = free - taken->second;
-  result = {0, {slot, {}}};
+  result = {0, {slot, {}}, result.evaluatedAfter};
   if (demand.fitsIn(free))
     return true;
   std::vector<std::pair<double, TaskRef>> eligible;
@@ -87,7 +88,7 @@
   for (const auto &[cost, ref] : eligible) {
     if (!demand.fitsIn(free + ref.job->tasks[ref.index].held))
       continue;
-    result = {cost, {slot, {ref}}};
+    result = {cost, {slot, {ref}}, result.evaluatedAfter};
     return true;
   }
   std::vector<std::pair<double, TaskRef>> chosen;
@@ -115,6 +116,8 @@
     result.eviction.victims.push_back(entry->second);
   }
   assert(!result.eviction.victims.empty());
+  // In the order of choice each borrower's team still borrows when its task is stopped.
+  std::reverse(result.eviction.victims.begin(), result.eviction.victims.end());
   return true;
 }
 
@@ -167,7 +170,7 @@
   std::vector<std::uint32_t> slots =
       index.workersBelow(request.claimant->spec.priority, width, random);
   if (request.claimant->team->quota) {
-    for (const Team *team : quotas.borrowers()) {
+    for (const auto &[name, team] : quotas.borrowers()) {
       for (const TaskRef &ref : team->preemptible) {
         if (slots.size() >= 2 * width)
           break;
@@ -180,7 +183,6 @@
 
   std::vector<Eviction> evictions;
   Overlay overlay;
-  // Each worker is evaluated again only after a slot on it was taken.
   std::map<std::uint32_t, Candidate> candidates;
   for (const std::uint32_t slot : slots) {
     Candidate candidate;
@@ -196,6 +198,13 @@
     if (best == candidates.end())
       break;
     const std::uint32_t slot = best->first;
+    // Slots taken since then may have made its victims unavailable: their team no longer borrows.
+    if (best->second.evaluatedAfter != evictions.size()) {
+      best->second.evaluatedAfter = evictions.size();
+      if (!evaluate(slot, request, workers, overlay, best->second))
+        candidates.erase(best);
+      continue;
+    }
     Resources &taken = overlay.taken[slot];
     taken = taken + request.query.demand;
     for (const TaskRef &ref : best->second.eviction.victims) {
@@ -205,8 +214,6 @@
       overlay.returned[ref.job->team] = overlay.returned[ref.job->team] + held;
     }
     evictions.push_back(best->second.eviction);
-    if (!evaluate(slot, request, workers, overlay, best->second))
-      candidates.erase(best);
   }
   if (request.allOrNone && evictions.size() < request.slotsWanted)
     return {};
--- a/packages/placement/src/QuotaTable.cpp
+++ b/packages/placement/src/QuotaTable.cpp
@@ -71,9 +71,9 @@
 
 void QuotaTable::classify(Team &team) {
   if (team.borrows())
-    this->overQuota.insert(&team);
+    this->overQuota.emplace(team.name, &team);
   else
-    this->overQuota.erase(&team);
+    this->overQuota.erase(team.name);
 }
 
 } // namespace banyanrill::placement
--- a/packages/placement/src/QuotaTable.h
+++ b/packages/placement/src/QuotaTable.h
@@ -3,6 +3,7 @@
 
 #include "Model.h"
 
+#include <map>
 #include <optional>
 
 namespace banyanrill::placement {
@@ -37,14 +38,14 @@
   void markStopping(Team &team, const base::Resources &amount);
   void giveBack(Team &team, TaskRef task, const base::Resources &amount, bool stopping);
 
-  const std::set<Team *> &borrowers() const { return this->overQuota; }
+  const std::map<std::string, Team *> &borrowers() const { return this->overQuota; }
 
 private:
   Team &team(const std::string &name);
   void classify(Team &team);
 
   std::unordered_map<std::string, Team> teams;
-  std::set<Team *> overQuota;
+  std::map<std::string, Team *> overQuota; ///< By name, for an order that can be replayed.
 };
 
 } // namespace banyanrill::placement
--- a/packages/placement/src/WorkerHealth.cpp
+++ b/packages/placement/src/WorkerHealth.cpp
@@ -12,6 +12,8 @@
 // A probe costs one attempt of a task, so the wait doubles from one minute to half an hour.
 constexpr Duration FirstWait = std::chrono::minutes(1);
 constexpr Duration LongestWait = std::chrono::minutes(30);
+// Long enough for a probe to be found in a busy cell, short beside a wait for capacity.
+constexpr Duration UnprobedWait = std::chrono::minutes(1);
 // As many as there may be workers; beyond it failures are not recorded.
 constexpr std::size_t MaxSuspects = 8192;
 
@@ -34,14 +36,15 @@
     return Verdict::Unchanged;
   if (this->suspects.size() >= MaxSuspects && this->suspects.count(worker) == 0)
     return Verdict::Unchanged;
-  std::set<std::uint64_t> &jobs = this->suspects[worker];
-  if (jobs.size() < JobsToQuarantine)
-    jobs.insert(job);
-  if (jobs.size() < JobsToQuarantine ||
+  Suspect &suspect = this->suspects[worker];
+  if (suspect.failedJobs.size() < JobsToQuarantine)
+    suspect.failedJobs.insert(job);
+  if (suspect.failedJobs.size() + suspect.carriedOver < JobsToQuarantine ||
       this->quarantined.size() >= WorkerHealth::maxQuarantined(workers))
     return Verdict::Unchanged;
+  const Duration wait = std::clamp(suspect.lastWait * 2, FirstWait, LongestWait);
   this->suspects.erase(worker);
-  this->quarantined[worker] = {now + FirstWait, FirstWait, false};
+  this->quarantined[worker] = {now + wait, wait, false};
   return Verdict::Quarantine;
 }
 
@@ -61,8 +64,8 @@
     const auto found = this->suspects.find(worker);
     if (found == this->suspects.end())
       continue;
-    found->second.erase(job);
-    if (found->second.empty())
+    found->second.failedJobs.erase(job);
+    if (found->second.failedJobs.empty() && found->second.carriedOver == 0)
       this->suspects.erase(found);
   }
 }
@@ -83,6 +86,17 @@
     held->second.probing = true;
 }
 
+std::vector<std::string> WorkerHealth::releaseUnprobed(TimePoint now) {
+  std::vector<std::string> released;
+  for (const std::string &worker : this->probesDue(now - UnprobedWait)) {
+    if (this->suspects.size() < MaxSuspects)
+      this->suspects[worker] = {{}, JobsToQuarantine - 1, this->quarantined.at(worker).wait};
+    this->quarantined.erase(worker);
+    released.push_back(worker);
+  }
+  return released;
+}
+
 bool WorkerHealth::isQuarantined(const std::string &worker) const {
   return this->quarantined.count(worker) != 0;
 }
--- a/packages/placement/src/WorkerHealth.h
+++ b/packages/placement/src/WorkerHealth.h
@@ -35,6 +35,10 @@
   std::vector<std::string> probesDue(base::TimePoint now) const;
   void onProbeStarted(const std::string &worker);
 
+  /// Releases, on probation, the workers that were due for a probe for a while but got none, since
+  /// the work that waits may be unfit for probes. One more failing job quarantines them again.
+  std::vector<std::string> releaseUnprobed(base::TimePoint now);
+
   bool isQuarantined(const std::string &worker) const;
   std::size_t quarantinedCount() const { return this->quarantined.size(); }
 
@@ -45,7 +49,13 @@
     bool probing = false;
   };
 
-  std::unordered_map<std::string, std::set<std::uint64_t>> suspects;
+  struct Suspect {
+    std::set<std::uint64_t> failedJobs;
+    std::size_t carriedOver = 0; ///< Counted as failed jobs of an earlier quarantine.
+    base::Duration lastWait{0};  ///< Of the earlier quarantine.
+  };
+
+  std::unordered_map<std::string, Suspect> suspects;
   std::unordered_map<std::string, Quarantine> quarantined;
 };
 
