Add focused consensus tests and harder fault scenarios

The scenarios now fail chains of leaders in the middle of replication, crash replicas while they write a vote, and vary delays, election timeouts and append sizes.

--- /dev/null
+++ b/packages/consensus/tests/ElectionTest.cpp
@@ -0,0 +1,77 @@
+// Guards against two leaders in a term and against disturbance by replicas that lost contact.
+#include "Driver.h"
+#include "Network.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanrill::consensus;
+using namespace banyanrill::consensus::testing;
+
+TEST_GROUP(Election){};
+
+// A vote that is sent before it is durable can be given again after a crash.
+TEST(Election, holdsVoteUntilItIsStored) {
+  Driver driver;
+  driver.receive(MessageKind::VoteRequest, 2, 1);
+  const Output output = driver.take();
+  CHECK(output.messages.empty());
+  CHECK(output.hardState == (HardState{1, 2}));
+  driver.stored(output);
+  CHECK_EQUAL(1, countOf(driver.take().messages, MessageKind::VoteResponse));
+}
+
+TEST(Election, refusesSecondCandidateOfATerm) {
+  Driver driver;
+  driver.receive(MessageKind::VoteRequest, 2, 1);
+  driver.settle();
+  driver.receive(MessageKind::VoteRequest, 3, 1);
+  CHECK(driver.settle().at(0).reject);
+}
+
+TEST(Election, refusesCandidateWithShorterLog) {
+  Driver driver(storedLog(2));
+  driver.receive(MessageKind::VoteRequest, 2, 2, 1, 1);
+  CHECK(driver.settle().at(0).reject);
+}
+
+// Its vote could be lost in a crash and given to another candidate of the same term.
+TEST(Election, candidateCountsItselfAndAsksOnlyOnceItsVoteIsStored) {
+  Driver driver;
+  driver.wait(std::chrono::milliseconds(2000));
+  driver.receive(MessageKind::PreVoteResponse, 2, 1);
+  const Output output = driver.take();
+  CHECK_EQUAL(0, countOf(output.messages, MessageKind::VoteRequest));
+  driver.receive(MessageKind::VoteResponse, 2, 1);
+  CHECK(driver.replica.role() == Role::Candidate);
+  driver.stored(output);
+  CHECK(driver.replica.role() == Role::Leader);
+}
+
+TEST(Election, preVoteLeavesTheTerm) {
+  Driver driver;
+  driver.wait(std::chrono::milliseconds(2000));
+  CHECK_EQUAL(2, countOf(driver.settle(), MessageKind::PreVoteRequest));
+  CHECK(driver.replica.role() == Role::PreCandidate);
+  CHECK_EQUAL(0, driver.replica.term());
+}
+
+// Without the pre-vote, a replica that returns from a partition forces a needless election.
+TEST(Election, returningReplicaDoesNotReplaceTheLeader) {
+  Network network(1, 3);
+  const ReplicaId leader = network.awaitLeader();
+  const ReplicaId other = leader % 3 + 1;
+  network.isolate(other);
+  network.run(std::chrono::seconds(10));
+  network.unblockAll();
+  network.run(std::chrono::seconds(5));
+  CHECK_EQUAL(leader, network.leader());
+  CHECK_EQUAL(1, network.at(leader).term());
+}
+
+TEST(Election, newLeaderFollowsACrashWithinFiveSeconds) {
+  Network network(2, 5);
+  const ReplicaId leader = network.awaitLeader();
+  network.crash(leader);
+  network.run(std::chrono::seconds(5));
+  CHECK(network.leader() != banyanrill::base::NoDaemon);
+}
--- a/packages/consensus/tests/Network.cpp
+++ b/packages/consensus/tests/Network.cpp
@@ -9,18 +9,6 @@
 
 using std::chrono::milliseconds;
 
-// Small limits, so that short runs reach them.
-ReplicaOptions smallOptions(ReplicaId self) {
-  ReplicaOptions options;
-  options.self = self;
-  options.maxEntriesPerAppend = 4;
-  options.maxAppendBytes = 24;
-  options.maxInFlightAppends = 3;
-  options.snapshotChunkBytes = 16;
-  options.maxUncommittedEntries = 32;
-  return options;
-}
-
 void writeEntries(StoredState &disk, const std::vector<Entry> &entries, std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) {
     const Index index = entries[i].index;
@@ -45,8 +33,19 @@
 
 } // namespace
 
-Network::Network(std::uint64_t seed, ReplicaId voters, Faults networkFaults)
-    : random(seed), faults(networkFaults) {
+ReplicaOptions smallOptions() {
+  ReplicaOptions options;
+  options.maxEntriesPerAppend = 4;
+  options.maxAppendBytes = 24;
+  options.maxInFlightAppends = 3;
+  options.snapshotChunkBytes = 16;
+  options.maxUncommittedEntries = 32;
+  return options;
+}
+
+Network::Network(std::uint64_t seed, ReplicaId voters, Faults networkFaults,
+                 ReplicaOptions replicaOptions)
+    : random(seed), faults(networkFaults), options(replicaOptions) {
   Membership initial;
   for (ReplicaId id = 1; id <= voters; ++id) {
     initial.voters.push_back(id);
@@ -58,7 +57,8 @@
 
 void Network::start(ReplicaId id, Membership initial) {
   Node &node = this->nodes[id];
-  node.replica.emplace(smallOptions(id), std::move(initial), node.disk,
+  this->options.self = id;
+  node.replica.emplace(this->options, std::move(initial), node.disk,
                        base::RandomSource(this->random.next()), this->now);
   node.applied = node.disk.snapshot ? node.disk.snapshot->index : 0;
 }
@@ -110,7 +110,7 @@
   const std::uint64_t copies = this->random.below(100) < this->faults.duplication ? 2 : 1;
   for (std::uint64_t i = 0; i < copies; ++i) {
     const bool slow = this->random.below(100) < this->faults.longDelay;
-    const milliseconds delay(1 + this->random.below(slow ? 3000 : 20));
+    const milliseconds delay(1 + this->random.below(slow ? 3000 : this->faults.maxDelay));
     this->inTransit.emplace(this->now + delay, message);
   }
 }
--- a/packages/consensus/tests/Network.h
+++ b/packages/consensus/tests/Network.h
@@ -17,9 +17,13 @@
   std::uint64_t loss = 0;
   std::uint64_t duplication = 0;
   std::uint64_t longDelay = 0; ///< Delays of up to 3 s, which reorder messages.
+  std::uint64_t maxDelay = 20; ///< Of other messages, in ms.
   std::uint64_t slowSync = 0;  ///< Syncs of up to 1.5 s.
 };
 
+/// Small limits, so that short runs reach them.
+ReplicaOptions smallOptions();
+
 struct Node {
   std::optional<Replica> replica; ///< Empty while crashed.
   StoredState disk;
@@ -33,7 +37,8 @@
 
 class Network {
 public:
-  Network(std::uint64_t seed, ReplicaId voters, Faults networkFaults = {});
+  Network(std::uint64_t seed, ReplicaId voters, Faults networkFaults = {},
+          ReplicaOptions replicaOptions = smallOptions());
 
   /// Runs everything for the given simulated time.
   void run(base::Duration duration);
@@ -77,6 +82,7 @@
 
   base::RandomSource random;
   Faults faults;
+  ReplicaOptions options;
   std::multimap<base::TimePoint, Message> inTransit;
   std::set<std::pair<ReplicaId, ReplicaId>> blocked;
   std::uint64_t lastCommand = 0;
--- a/packages/consensus/tests/Scenario.cpp
+++ b/packages/consensus/tests/Scenario.cpp
@@ -15,17 +15,29 @@
 Faults randomFaults(base::RandomSource &random) {
   const std::uint64_t level = random.below(4);
   return {random.below(level * 8 + 1), random.below(level * 8 + 1), random.below(level * 4 + 1),
-          random.below(level * 4 + 1)};
+          random.below(2) == 0 ? 20U : 200U, random.below(level * 15 + 1)};
+}
+
+// A narrow election timeout lets candidates compete in one term; single entries in flight widen the
+// window in which only a part of a leader's log is replicated.
+ReplicaOptions randomOptions(base::RandomSource &random) {
+  ReplicaOptions options = smallOptions();
+  options.electionTimeoutMax = milliseconds(1050 + 950 * random.below(2));
+  if (random.below(2) == 0) {
+    options.maxEntriesPerAppend = 1;
+    options.maxInFlightAppends = 1;
+  }
+  return options;
 }
 
 class Scenario {
 public:
   explicit Scenario(std::uint64_t seed)
-      : random(seed),
-        network(seed, static_cast<ReplicaId>(3 + seed % 3), randomFaults(this->random)) {}
+      : random(seed), network(seed, static_cast<ReplicaId>(3 + seed % 3),
+                              randomFaults(this->random), randomOptions(this->random)) {}
 
   void run() {
-    for (int i = 0; i < 120; ++i) {
+    for (int i = 0; i < 100; ++i) {
       this->act();
       this->network.run(milliseconds(this->random.below(400)));
     }
@@ -53,20 +65,28 @@
     Node &node = this->network.nodes.at(id);
     const bool running = node.replica && !node.paused;
     const ReplicaId leading = this->anyLeader();
-    switch (this->random.below(16)) {
+    switch (this->random.below(22)) {
     case 0:
       if (node.replica && this->random.below(2) == 0) {
         this->network.crash(id);
       }
       break;
     case 1:
+      this->restartAll();
+      break;
     case 2:
-      if (id != this->lost) {
-        this->network.restart(id);
+      for (auto &[other, paused] : this->network.nodes) {
+        paused.paused = false;
       }
       break;
     case 3:
-      node.paused = node.replica && !node.paused && this->random.below(2) == 0;
+      node.paused = node.replica.has_value();
+      break;
+    case 13:
+      this->crashVoter();
+      break;
+    case 14:
+      this->failLeaders();
       break;
     case 4:
       this->network.block(id, this->anyNode());
@@ -105,6 +125,48 @@
     }
   }
 
+  // A vote is at risk exactly while it is written.
+  void crashVoter() {
+    for (int i = 0; i < 60; ++i) {
+      const ReplicaId id = this->anyNode();
+      const Node &node = this->network.nodes.at(id);
+      if (node.write && node.write->hardState && id != this->lost) {
+        this->network.crash(id);
+        this->network.restart(id);
+      }
+      this->network.run(milliseconds(this->random.below(50)));
+    }
+  }
+
+  // Leaders that fail in the middle of replication leave different entries on different replicas.
+  void failLeaders() {
+    ReplicaId previous = base::NoDaemon;
+    for (int i = 0; i < 100; ++i) {
+      this->network.run(milliseconds(this->random.below(100)));
+      const ReplicaId leading = this->network.leader();
+      if (leading == base::NoDaemon || leading == this->lost) {
+        continue;
+      }
+      for (std::uint64_t count = this->random.below(4); count > 0; --count) {
+        this->network.propose(leading);
+      }
+      this->network.run(milliseconds(this->random.below(200)));
+      this->network.crash(leading);
+      if (previous != base::NoDaemon) {
+        this->network.restart(previous);
+      }
+      previous = leading;
+    }
+  }
+
+  void restartAll() {
+    for (const auto &[id, node] : this->network.nodes) {
+      if (id != this->lost) {
+        this->network.restart(id);
+      }
+    }
+  }
+
   // One loss at a time: losing a majority of the disks may lose commits in any protocol.
   void loseDisk(ReplicaId id) {
     if (this->lost != base::NoDaemon || this->random.below(2) != 0) {
