Follow the revised interface of workers and upstream instances

The design now lets instances report only the requests of other owners, so an announcement gives their number exactly. The upstream table takes it as it is; assuming the lowest number seen, and the quiet intervals that corrected it under load, are removed. The number may rise, because an instance first has to learn the token of its owner.

--- a/packages/routing/include/banyanrill/routing/UpstreamTable.h
+++ b/packages/routing/include/banyanrill/routing/UpstreamTable.h
@@ -23,7 +23,7 @@
   std::uint16_t port = 0;
   std::int32_t slots = 0;
   std::int32_t connections = 0;
-  std::int32_t inProgress = 0; ///< Requests it is running, for a new owner.
+  std::int32_t inProgress = 0; ///< Requests it runs for other owners than the receiver.
 
   bool operator==(const UpstreamAnnouncement &) const = default;
 };
@@ -77,8 +77,9 @@
   UpstreamTable(UpstreamTable &&) noexcept;
   UpstreamTable &operator=(UpstreamTable &&) noexcept;
 
-  /// Adds or renews an instance. `inProgress` of an instance that is new here takes that many slots
-  /// until later announcements report fewer. Returns false at the bound of instances for a worker.
+  /// Adds or renews an instance; its announced requests of other owners take slots until the next
+  /// announcement. An instance with another address is another process; requests to the former one
+  /// take slots until they are released. Returns false at the bound of instances for a worker.
   bool announce(const UpstreamAnnouncement &announcement, base::TimePoint now);
 
   /// No new work for this instance from now on; it is forgotten when its last request ends.
--- a/packages/routing/src/UpstreamTable.cpp
+++ b/packages/routing/src/UpstreamTable.cpp
@@ -26,19 +26,14 @@
 // announcements covers it, and a process that does return on the same port is late by one.
 constexpr base::Duration LeftMemory = std::chrono::seconds(5);
 constexpr std::size_t LeftMemorySize = 256;
-// Own traffic hides whether inherited requests have ended. Every sixth interval between
-// announcements nothing is dispatched while some are assumed, which shows their true number.
-constexpr std::int32_t QuietEvery = 6;
-constexpr std::int32_t FirstQuiet = 2;
 
 struct Instance {
   explicit Instance(std::int32_t limit) : adaptive(limit) {}
 
   UpstreamAnnouncement announced;
   ConcurrencyLimit adaptive;
-  std::int32_t inUse = 0;     ///< Requests dispatched by this table.
-  std::int32_t inherited = 0; ///< Requests that an earlier owner may still have in progress.
-  std::int32_t inheritedRounds = 0;
+  std::int32_t inUse = 0;       ///< Requests dispatched by this table.
+  std::int32_t inherited = 0;   ///< Requests of other owners, as announced last.
   std::int32_t staleLeases = 0; ///< Part of `inUse` that an earlier process of this id held.
   std::int32_t failures = 0;    ///< In a row.
   std::int32_t successes = 0;   ///< In a row.
@@ -55,9 +50,6 @@
   }
   std::int32_t taken() const { return this->inUse + this->inherited; }
   bool isMember() const { return !this->leaving && !this->gone; }
-  bool isQuiet() const {
-    return this->inherited > 0 && this->inheritedRounds % QuietEvery == FirstQuiet;
-  }
 };
 
 struct Service {
@@ -254,8 +246,8 @@
     instance.announced = announcement;
     instance.adaptive.setCeiling(instance.ceiling());
     instance.lastAnnounced = now;
-    instance.inherited = std::min(instance.inherited, reported);
-    ++instance.inheritedRounds;
+    // May also rise: the instance first has to learn which owner's requests not to report.
+    instance.inherited = reported;
     return true;
   }
 
@@ -348,8 +340,7 @@
       if (!this->state->isUsable(instance, now))
         continue;
       load.totalSlots += instance.ceiling();
-      if (!instance.isQuiet())
-        load.freeSlots += std::max(this->state->limitOf(instance, now) - instance.taken(), 0);
+      load.freeSlots += std::max(this->state->limitOf(instance, now) - instance.taken(), 0);
     }
     loads.push_back(std::move(load));
   }
@@ -394,7 +385,7 @@
   for (const base::UpstreamId &id : found->second.members) {
     const Instance &instance = this->state->instances.at(id);
     const std::int32_t limit = this->state->limitOf(instance, now);
-    if (!this->state->isUsable(instance, now) || instance.isQuiet() || instance.taken() >= limit ||
+    if (!this->state->isUsable(instance, now) || instance.taken() >= limit ||
         std::find(avoid.begin(), avoid.end(), id) != avoid.end())
       continue;
     choices.push_back(
--- a/tests/standins/Cell.h
+++ b/tests/standins/Cell.h
@@ -67,6 +67,9 @@
     std::string id;
     std::size_t worker = 0;
     std::optional<Address> owner;
+    std::string ownerToken; ///< Issued by the daemon at `owner`; empty: none.
+    /// Requests in progress and their demand, by the token of the owner that dispatched them.
+    std::map<std::string, std::pair<std::int32_t, base::Resources>> byToken;
     std::size_t nextEntry = 0;
     std::int32_t inProgress = 0;
     http::CallId call = 0; ///< Announcement or departure in flight.
@@ -83,6 +86,7 @@
     std::string key;
     std::string operation;
     std::string body;
+    std::string ownerToken;
     base::Resources demand;
   };
 
