--- a/packages/settings/include/banyanrill/settings/Tree.h
+++ b/packages/settings/include/banyanrill/settings/Tree.h
@@ -82,12 +82,12 @@
 /// below the 64 MiB that a snapshot may hold.
 struct TreeLimits {
   std::size_t paths = 65536;
-  std::size_t valueBytes = 64 * 1024;
-  std::size_t totalBytes = 24 * 1024 * 1024; ///< Of all paths and values.
+  std::size_t valueBytes = 65536;
+  std::size_t totalBytes = std::size_t{24} << 20U; ///< Of all paths and values.
   std::size_t editsPerChange = 64;
-  std::size_t requestIds = 8192;             ///< The oldest is dropped at the bound.
-  std::size_t auditRecords = 16384;          ///< The oldest is dropped at the bound.
-  std::size_t auditBytes = 16 * 1024 * 1024; ///< The oldest record is dropped at the bound.
+  std::size_t requestIds = 8192;                   ///< The oldest is dropped at the bound.
+  std::size_t auditRecords = 16384;                ///< The oldest is dropped at the bound.
+  std::size_t auditBytes = std::size_t{16} << 20U; ///< The oldest record is dropped at the bound.
   /// Revisions that followers can resume from; fewer if the audit trail no longer holds them.
   std::size_t history = 1024;
 };
--- a/packages/storage/include/banyanrill/storage/LogStore.h
+++ b/packages/storage/include/banyanrill/storage/LogStore.h
@@ -15,8 +15,8 @@
 struct Environment;
 
 /// Bound of the encoded entries of a batch, and of the data of a snapshot.
-inline constexpr std::size_t MaxBatchBytes = 64 * 1024 * 1024;
-inline constexpr std::size_t MaxSnapshotBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxBatchBytes = std::size_t{64} << 20U;
+inline constexpr std::size_t MaxSnapshotBytes = std::size_t{64} << 20U;
 
 /// One log entry as stored. `kind` and `payload` are opaque here.
 struct StoredEntry {
@@ -81,6 +81,10 @@
   /// already holds a replica.
   static base::Result<FolderIdentity> create(const std::string &folder, std::uint32_t replica);
 
+  /// As above, with other file operations (see src/Environment.h).
+  static base::Result<FolderIdentity> create(const std::string &folder, std::uint32_t replica,
+                                             const Environment &environment);
+
   /// Opens a folder and recovers its state. An incomplete record at the tail of the newest segment
   /// is cut off; damage anywhere else is DataCorrupted with file, offset and what to do.
   /// Takes an exclusive lock on the folder. Errors: NotFound, DataCorrupted, StorageFailure.
--- a/packages/storage/src/Environment.h
+++ b/packages/storage/src/Environment.h
@@ -22,7 +22,7 @@
   FileOperations files;
   /// A segment that has reached this size is not extended. 4 MiB hold about one snapshot interval
   /// (4,096 entries of 1 KiB), so that few segments exist and old ones are removed soon.
-  std::size_t segmentBytes = 4 * 1024 * 1024;
+  std::size_t segmentBytes = std::size_t{4} << 20U;
 };
 
 /// The calls of the operating system.
--- a/packages/storage/src/Files.cpp
+++ b/packages/storage/src/Files.cpp
@@ -26,6 +26,13 @@
     ::close(this->number);
 }
 
+std::string pathIn(const std::string &folder, const std::string &name) {
+  std::string path = folder;
+  path += '/';
+  path += name;
+  return path;
+}
+
 Error systemError(const std::string &path, const std::string &action) {
   const std::error_code cause(errno, std::generic_category());
   return Error{Errc::StorageFailure, path, action + " failed: " + cause.message()};
@@ -105,7 +112,7 @@
 
 base::Status replaceFile(const FileOperations &files, const std::string &folder,
                          const std::string &name, std::string_view data) {
-  const std::string path = folder + "/" + name;
+  const std::string path = pathIn(folder, name);
   const std::string temporary = path + std::string(TemporarySuffix);
   const base::Result<Descriptor> file = openFile(temporary, O_WRONLY | O_CREAT | O_TRUNC);
   if (!file)
--- a/packages/storage/src/Files.h
+++ b/packages/storage/src/Files.h
@@ -28,6 +28,9 @@
 /// StorageFailure with the text of `errno`.
 base::Error systemError(const std::string &path, const std::string &action);
 
+/// Path of a file in a folder.
+std::string pathIn(const std::string &folder, const std::string &name);
+
 /// \param flags as for open(2). Errors: NotFound, StorageFailure.
 base::Result<Descriptor> openFile(const std::string &path, int flags);
 
--- a/packages/storage/src/FolderFiles.cpp
+++ b/packages/storage/src/FolderFiles.cpp
@@ -88,7 +88,7 @@
 }
 
 base::Result<FolderIdentity> readIdentity(const std::string &folder) {
-  const std::string path = folder + "/" + IdentityName;
+  const std::string path = pathIn(folder, IdentityName);
   constexpr std::size_t MaxBytes = 1024;
   const base::Result<std::string> file = readFile(path, MaxBytes);
   if (!file && file.error().code == Errc::TooLarge)
@@ -111,7 +111,7 @@
                            const StoredSnapshot &snapshot) {
   const std::string name = snapshotName(snapshot.index);
   if (snapshot.data.size() > MaxSnapshotBytes)
-    return Error{Errc::TooLarge, folder + "/" + name,
+    return Error{Errc::TooLarge, pathIn(folder, name),
                  "a snapshot has at most " + std::to_string(MaxSnapshotBytes) + " bytes"};
   std::string bytes;
   bytes.reserve(snapshot.data.size() + SnapshotOverheadBytes);
@@ -124,7 +124,7 @@
 }
 
 base::Result<StoredSnapshot> readSnapshot(const std::string &folder, std::uint64_t index) {
-  const std::string path = folder + "/" + snapshotName(index);
+  const std::string path = pathIn(folder, snapshotName(index));
   base::Result<std::string> file = readFile(path, MaxSnapshotBytes + SnapshotOverheadBytes);
   if (!file && file.error().code != Errc::StorageFailure)
     return corrupted(path, file.error().message);
--- a/packages/storage/src/LogStore.cpp
+++ b/packages/storage/src/LogStore.cpp
@@ -46,7 +46,7 @@
 
 /// The lock ends with the process, also after a crash.
 base::Result<Descriptor> lockFolder(const std::string &folder) {
-  const std::string path = folder + "/" + LockName;
+  const std::string path = pathIn(folder, LockName);
   base::Result<Descriptor> file = openFile(path, O_RDWR | O_CREAT);
   if (!file)
     return file;
@@ -75,7 +75,7 @@
       return Error{Errc::LimitReached, folder, "the folder already holds a replica"};
   }
   for (const std::string &name : names.value()) {
-    const std::string path = folder + "/" + name;
+    const std::string path = pathIn(folder, name);
     std::error_code code;
     const bool isLeftover = name == segmentName(FirstSequence) &&
                             std::filesystem::file_size(path, code) == initialBytes;
@@ -93,7 +93,7 @@
     if (name.size() < TemporarySuffix.size() ||
         name.substr(name.size() - TemporarySuffix.size()) != TemporarySuffix)
       continue;
-    const std::string path = folder + "/" + name;
+    const std::string path = pathIn(folder, name);
     if (files.unlink(path.c_str()) != 0)
       return systemError(path, "removal");
   }
@@ -124,7 +124,7 @@
   bool failed = false;
 
   std::string segmentPath() const {
-    return this->folder + "/" + segmentName(this->header.sequence);
+    return pathIn(this->folder, segmentName(this->header.sequence));
   }
 
   std::uint64_t lastIndex() const { return this->snapshot.index + this->terms.size(); }
@@ -246,7 +246,7 @@
     bool removed = false;
     // Oldest first: a crash in between leaves no gap.
     while (this->segments.size() > 1 && this->segments.front().maxIndex <= this->snapshot.index) {
-      const std::string path = this->folder + "/" + segmentName(this->segments.front().sequence);
+      const std::string path = pathIn(this->folder, segmentName(this->segments.front().sequence));
       if (files.unlink(path.c_str()) != 0)
         return systemError(path, "removal");
       this->segments.erase(this->segments.begin());
@@ -259,7 +259,7 @@
       const std::optional<std::uint64_t> index = snapshotIndex(name);
       if (!index || *index >= this->snapshot.index)
         continue;
-      const std::string path = this->folder + "/" + name;
+      const std::string path = pathIn(this->folder, name);
       if (files.unlink(path.c_str()) != 0)
         return systemError(path, "removal");
       removed = true;
@@ -274,6 +274,11 @@
 };
 
 base::Result<FolderIdentity> LogStore::create(const std::string &folder, std::uint32_t replica) {
+  return LogStore::create(folder, replica, systemEnvironment());
+}
+
+base::Result<FolderIdentity> LogStore::create(const std::string &folder, std::uint32_t replica,
+                                              const Environment &environment) {
   std::error_code code;
   std::filesystem::create_directories(folder, code);
   if (code)
@@ -281,7 +286,7 @@
   const base::Result<Descriptor> lock = lockFolder(folder);
   if (!lock)
     return lock.error();
-  const FileOperations files = systemEnvironment().files;
+  const FileOperations &files = environment.files;
   const SegmentHeader header{SegmentVersion, FirstSequence, randomNumber()};
   const std::string segment = initialSegment(header, {}, {});
   if (const base::Status status = checkUnused(folder, segment.size()); !status)
--- a/packages/storage/src/Recovery.cpp
+++ b/packages/storage/src/Recovery.cpp
@@ -84,7 +84,7 @@
 
   FolderContents contents;
   for (const std::uint64_t sequence : sequences) {
-    const std::string path = folder + "/" + segmentName(sequence);
+    const std::string path = pathIn(folder, segmentName(sequence));
     if (sequence != sequences.front() + contents.segments.size())
       return corrupted(path, "the segment before this one is missing");
     const bool isNewest = sequence == sequences.back();
