Keep scenario seeds for the consensus properties

The seeds of the two fixed loops are renewed for the harder scenarios, and two seeds are added that fail if a vote is answered before it is durable or if entries of earlier terms are committed by counting.

--- a/packages/consensus/include/banyanrill/consensus/Replica.h
+++ b/packages/consensus/include/banyanrill/consensus/Replica.h
@@ -22,13 +22,13 @@
   base::Duration electionTimeoutMin = std::chrono::milliseconds(1000);
   base::Duration electionTimeoutMax = std::chrono::milliseconds(2000);
   std::size_t maxEntriesPerAppend = 256;
-  std::size_t maxAppendBytes = 256 * 1024;
+  std::size_t maxAppendBytes = std::size_t{256} * 1024;
   std::size_t maxInFlightAppends = 8;
-  std::size_t snapshotChunkBytes = 64 * 1024;
+  std::size_t snapshotChunkBytes = std::size_t{64} * 1024;
   /// Proposals are refused while this many entries are not committed.
   std::size_t maxUncommittedEntries = 4096;
   /// A larger snapshot from a leader is refused, to bound the memory of its assembly.
-  std::size_t maxSnapshotBytes = 64 * 1024 * 1024;
+  std::size_t maxSnapshotBytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// What a replica has on disk when it starts.
--- a/packages/consensus/tests/SafetyPropertyTest.cpp
+++ b/packages/consensus/tests/SafetyPropertyTest.cpp
@@ -50,10 +50,20 @@
 // The peer's log conflicted at the leader's base, and the leader probed there forever instead of
 // sending its snapshot.
 TEST(SafetyProperty, recoversAfterConflictAtTheLeadersBase) {
-  STRCMP_EQUAL("", failureOf(7291387863334788077ULL).c_str());
+  STRCMP_EQUAL("", failureOf(16683472565336699000ULL).c_str());
 }
 
 // The leader compacted again while it sent a snapshot, and kept sending the old one forever.
 TEST(SafetyProperty, recoversWhenASnapshotIsOutdatedDuringItsTransfer) {
-  STRCMP_EQUAL("", failureOf(9467865236876495210ULL).c_str());
+  STRCMP_EQUAL("", failureOf(5750704915771530545ULL).c_str());
+}
+
+// Fails if a vote is answered before it is durable: two leaders in a term.
+TEST(SafetyProperty, keepsVotesOverCrashes) {
+  STRCMP_EQUAL("", failureOf(12498719815718936802ULL).c_str());
+}
+
+// Fails if entries of earlier terms are committed by counting: a committed entry changes.
+TEST(SafetyProperty, keepsCommitsOfLeadersThatFailInTheMiddle) {
+  STRCMP_EQUAL("", failureOf(13669327044402435651ULL).c_str());
 }
