--- a/packages/consensus/include/banyanrill/consensus/Replica.h
+++ b/packages/consensus/include/banyanrill/consensus/Replica.h
@@ -98,7 +98,7 @@
   /// Proposes a membership that differs from the current one in one member: a new learner, a
   /// removed member, a promoted learner or a demoted voter. Returns Busy until the leader has
   /// committed an entry of its own term.
-  ProposeResult proposeMembership(Membership membership, base::TimePoint now);
+  ProposeResult proposeMembership(const Membership &membership, base::TimePoint now);
 
   /// Starts a linearizable read; `ReadReady` with the same context follows while this replica
   /// stays leader. Returns false if it does not lead.
--- a/packages/consensus/src/Replica.cpp
+++ b/packages/consensus/src/Replica.cpp
@@ -150,7 +150,7 @@
   return ProposeResult::Accepted;
 }
 
-ProposeResult Replica::proposeMembership(Membership membership, base::TimePoint now) {
+ProposeResult Replica::proposeMembership(const Membership &membership, base::TimePoint now) {
   advanceClock(*this->state, now);
   if (this->state->role != Role::Leader) {
     return ProposeResult::NotLeader;
--- a/packages/consensus/tests/Network.cpp
+++ b/packages/consensus/tests/Network.cpp
@@ -243,8 +243,8 @@
   return result;
 }
 
-ProposeResult Network::changeMembership(ReplicaId id, Membership membership) {
-  const ProposeResult result = this->at(id).proposeMembership(std::move(membership), this->now);
+ProposeResult Network::changeMembership(ReplicaId id, const Membership &membership) {
+  const ProposeResult result = this->at(id).proposeMembership(membership, this->now);
   this->drain(id);
   return result;
 }
--- a/packages/consensus/tests/Network.h
+++ b/packages/consensus/tests/Network.h
@@ -48,7 +48,7 @@
   ReplicaId leader() const;
 
   ProposeResult propose(ReplicaId id);
-  ProposeResult changeMembership(ReplicaId id, Membership membership);
+  ProposeResult changeMembership(ReplicaId id, const Membership &membership);
   bool read(ReplicaId id);
   void transfer(ReplicaId id);
   void compact(ReplicaId id);
