--- a/packages/settings/tests/FollowerPropertyTest.cpp
+++ b/packages/settings/tests/FollowerPropertyTest.cpp
@@ -41,6 +41,7 @@
 TEST(FollowerProperty, HoldsTheValuesOfItsRevisionAndNeverGoesBack) {
   CHECK(rc::check("followers hold the values of their revision", [] {
     TreeModel model;
+    model.limits.auditRecords = 3; // Often fewer than the history needs.
     Tree replica(model.limits);
     std::vector<Values> valuesAt = {{}};
     std::vector<Tree> followers(3);
