--- a/packages/placement/src/Feasibility.cpp
+++ b/packages/placement/src/Feasibility.cpp
@@ -102,7 +102,7 @@
     text += "; fails on several workers, next start in " + seconds(job.notBefore - now);
   if (job.claims > 0)
     text += "; " + std::to_string(job.claims) + " workers are being vacated by preemption";
-  if (!job.team->admits(job.spec.demand))
+  if (!job.team->admits(job.spec.demand, job.spec.preemptible))
     text += job.spec.preemptible ? "; beyond the quota of the team, starts on idle capacity only"
                                  : "; beyond the quota of the team";
   if (core.reservation.holder() == &job)
--- a/packages/placement/src/GangReservation.cpp
+++ b/packages/placement/src/GangReservation.cpp
@@ -97,6 +97,7 @@
 
 void GangReservation::drop(WorkerIndex &workers) {
   this->lift(workers);
+  workers.noteIncrease();
   this->kept.clear();
   this->job = nullptr;
 }
--- a/packages/placement/src/JobChanges.cpp
+++ b/packages/placement/src/JobChanges.cpp
@@ -53,16 +53,16 @@
   assert(spec.kind == job.spec.kind && spec.team == job.spec.team);
   for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
     const Task &task = job.tasks[index];
-    if (!task.isActive() || task.phase == TaskPhase::Stopping)
+    if (!task.isActive())
       continue;
-    if (job.spec.preemptible) {
+    if (job.spec.preemptible != spec.preemptible)
+      this->quotas.setPreemptible(*job.team, {&job, index}, task.held, spec.preemptible);
+    if (task.phase == TaskPhase::Stopping)
+      continue;
+    if (job.spec.preemptible)
       this->preemptible.remove(job.spec.priority, task.worker);
-      job.team->preemptible.erase(TaskRef{&job, index});
-    }
-    if (spec.preemptible) {
+    if (spec.preemptible)
       this->preemptible.add(spec.priority, task.worker);
-      job.team->preemptible.insert(TaskRef{&job, index});
-    }
   }
   if (this->reservation.holder() == &job)
     this->reservation.drop(this->workers);
--- a/packages/placement/src/Model.h
+++ b/packages/placement/src/Model.h
@@ -68,7 +68,10 @@
   std::unordered_map<std::uint32_t, std::uint32_t> perZone;
   base::Duration observedRunTime{0}; ///< Moving average of successful runs; zero if none.
   base::TimePoint queueKey;
-  std::uint64_t blockedVersion = 0; ///< Capacity version at which a gang last failed to fit.
+  /// Capacity version at which it last did not fit, and until when it need not be tried again.
+  std::uint64_t blockedVersion = 0;
+  base::TimePoint blockedUntil;
+  bool blockedBorrowing = false;
   bool queued = false;
   bool ending = false;
   bool endSucceeded = false;
--- a/packages/placement/src/PlaceJob.cpp
+++ b/packages/placement/src/PlaceJob.cpp
@@ -14,9 +14,13 @@
 // Tasks of one job started before the next job is looked at, so that a large batch run does not
 // take all free capacity of a moment.
 constexpr std::size_t TasksPerVisit = 16;
-// After this wait a plain task may take processors kept for accelerators, and a task may return to
-// a worker on which it failed: otherwise it might wait for ever.
+// After this wait a task may return to a worker on which it failed: otherwise it might wait for
+// ever where no other worker can hold it.
 constexpr Duration EscapeWait = std::chrono::minutes(1);
+// After this wait a plain task may take processors kept for accelerators, for the same reason.
+constexpr Duration ReserveWait = std::chrono::minutes(10);
+// A blocked job is tried again at the latest after this, even if no capacity was freed.
+constexpr Duration RetryBlocked = std::chrono::seconds(5);
 // After this wait a task that fits nowhere gets a reservation, as a gang does at once.
 constexpr Duration ReservationWait = std::chrono::minutes(2);
 // Bounds the time of one call; each try costs a search for every task placed.
@@ -38,7 +42,7 @@
   if (!job.spec.dataCentres.empty() && query.zones.empty())
     return false;
   const bool escape = round.now - job.waitingSince >= EscapeWait;
-  query.useAcceleratorReserve = escape;
+  query.useAcceleratorReserve = round.now - job.waitingSince >= ReserveWait;
   query.avoidFor = escape || job.failuresOn.empty() ? nullptr : &job;
   return true;
 }
@@ -78,22 +82,37 @@
   Query query;
   if (!this->queryOf(job, round, query))
     return false;
-  if (round.heldTeams.count(job.team) != 0)
-    return false;
   const std::int64_t together = job.isGang() ? static_cast<std::int64_t>(job.ready.size()) : 1;
-  if (job.team->admits(job.spec.demand * together) == borrowing) {
-    // Smaller jobs of the team would otherwise take each part of the quota that is given back.
-    if (!borrowing && round.now - job.waitingSince >= ReservationWait)
-      round.heldTeams.insert(job.team);
+  const bool admitted = job.team->admits(job.spec.demand * together, job.spec.preemptible);
+  const bool held = round.heldQuotas.count({job.team, job.spec.preemptible}) != 0;
+  // Smaller jobs of the team would otherwise take each part of the quota that is given back.
+  if (!borrowing && !admitted && round.now - job.waitingSince >= ReservationWait)
+    round.heldQuotas.emplace(job.team, job.spec.preemptible);
+  if (borrowing == (admitted && !held))
     return false;
-  }
   // Only what can be called back may be borrowed.
   if (borrowing && !job.spec.preemptible)
     return false;
+  if (job.blockedVersion == this->workers.capacityVersion() && round.now < job.blockedUntil &&
+      job.blockedBorrowing == borrowing)
+    return false;
   return job.isGang() ? this->placeGang(job, query, borrowing, round)
                       : this->placeTasks(job, query, borrowing, round);
 }
 
+void PlannerCore::markBlocked(Job &job, bool borrowing, const Round &round) const {
+  job.blockedVersion = this->workers.capacityVersion();
+  job.blockedBorrowing = borrowing;
+  // What the passage of time allows is tried when its time has come.
+  job.blockedUntil = round.now + RetryBlocked;
+  for (const Duration wait : {EscapeWait, ReserveWait, ReservationWait}) {
+    if (job.waitingSince + wait > round.now)
+      job.blockedUntil = std::min(job.blockedUntil, job.waitingSince + wait);
+  }
+  if (!borrowing)
+    job.blockedUntil = std::min(job.blockedUntil, std::max(job.nextPreemption, round.now));
+}
+
 bool PlannerCore::placeTasks(Job &job, Query &query, bool borrowing, Round &round) {
   bool lifted = false;
   if (this->reservation.holder() == &job) {
@@ -104,7 +123,7 @@
   bool blocked = false;
   std::size_t visits = job.backoffLevel > 0 ? 1 : TasksPerVisit;
   while (visits-- > 0 && job.ready.size() > job.claims && this->budget(round) > 0) {
-    if (job.team->admits(query.demand) == borrowing)
+    if (!borrowing && !job.team->admits(query.demand, job.spec.preemptible))
       break;
     const std::uint32_t index = *job.ready.begin();
     const Task &task = job.tasks[index];
@@ -139,6 +158,8 @@
   }
   if (lifted && placed > 0)
     this->reservation.drop(this->workers);
+  if (blocked)
+    this->markBlocked(job, borrowing, round);
   if (blocked && !borrowing) {
     this->preemptFor(
         job, query,
@@ -165,8 +186,6 @@
     return false;
   assert(job.ready.size() + job.succeeded == job.wanted());
   const bool holds = this->reservation.holder() == &job;
-  if (job.blockedVersion == this->workers.capacityVersion() && job.nextPreemption > round.now)
-    return false;
   if (round.gangTrials >= MaxGangTrials)
     return false;
   if (holds)
@@ -176,11 +195,11 @@
       this->reservation.drop(this->workers);
     return true;
   }
+  this->markBlocked(job, borrowing, round);
   if (!borrowing)
     this->preemptFor(job, query, static_cast<std::uint32_t>(job.ready.size()), round);
   if (holds)
     this->reservation.restore(this->workers);
-  job.blockedVersion = this->workers.capacityVersion();
   Job *&candidate = job.serial == this->lastReservation ? round.blockedAgain : round.blocked;
   if (candidate == nullptr && job.claims == 0 && !borrowing)
     candidate = &job;
@@ -226,7 +245,8 @@
       this->claims.size() + slotsWanted > MaxClaims)
     return;
   while (slotsWanted > 0 &&
-         !job.team->admits(query.demand * static_cast<std::int64_t>(job.claims + slotsWanted))) {
+         !job.team->admits(query.demand * (std::int64_t{job.claims} + slotsWanted),
+                           job.spec.preemptible)) {
     if (job.isGang())
       return;
     --slotsWanted;
@@ -239,6 +259,7 @@
       findEvictions(request, this->workers, this->preemptible, this->quotas, this->random);
   if (evictions.empty()) {
     job.nextPreemption = round.now + PreemptionInterval;
+    this->markBlocked(job, false, round);
     return;
   }
   for (const Eviction &eviction : evictions) {
--- a/packages/placement/src/PlanRound.cpp
+++ b/packages/placement/src/PlanRound.cpp
@@ -145,7 +145,7 @@
   const std::int64_t tasks = job.isGang() ? job.claims : 1;
   if (job.ready.empty() || job.notBefore > round.now ||
       this->budget(round) < static_cast<std::size_t>(tasks) ||
-      !(job.spec.preemptible || job.team->admits(claim.demand * tasks)))
+      !(job.spec.preemptible || job.team->admits(claim.demand * tasks, false)))
     return false;
   return job.isGang() ? this->gangClaimsReady(job)
                       : claim.demand.fitsIn(this->workers.at(claim.slot).rawFree());
--- a/packages/placement/src/PlannerCore.h
+++ b/packages/placement/src/PlannerCore.h
@@ -82,7 +82,8 @@
     base::TimePoint now;
     std::vector<Action> actions;
     std::vector<FailedShape> failedShapes;
-    std::set<const Team *> heldTeams;  ///< Whose quota is kept for a job that waits for it.
+    /// Quotas kept for a job that has waited long, by whether it is preemptible.
+    std::set<std::pair<const Team *, bool>> heldQuotas;
     std::vector<std::uint32_t> probes; ///< Quarantined workers that may take one task.
     std::size_t gangTrials = 0;        ///< Placements tried for gangs that did not fit.
     std::size_t preemptionSearches = 0;
@@ -125,6 +126,7 @@
   bool tryGang(Job &job, const Query &query, Round &round);
   std::uint32_t findWorker(const Job &job, const Query &query, Round &round);
   void preemptFor(Job &job, const Query &query, std::uint32_t slotsWanted, Round &round);
+  void markBlocked(Job &job, bool borrowing, const Round &round) const;
   void updateReservation(Round &round);
   void assign(Job &job, std::uint32_t index, std::uint32_t slot, Round &round);
 
--- a/packages/placement/src/Preemption.cpp
+++ b/packages/placement/src/Preemption.cpp
@@ -44,7 +44,7 @@
 bool isCalledBack(const TaskRef &ref, const Job &claimant, const Overlay &overlay) {
   const Team &lender = *claimant.team;
   const Team &borrower = *ref.job->team;
-  if (!lender.quota || &lender == &borrower || !borrower.borrows())
+  if (!lender.quota || !borrower.borrows() || (&lender == &borrower && claimant.spec.preemptible))
     return false;
   Resources rest = borrower.used - borrower.stopping;
   const auto returned = overlay.returned.find(&borrower);
@@ -166,7 +166,7 @@
 std::vector<Eviction> findEvictions(const PreemptionRequest &request, const WorkerIndex &workers,
                                     const PreemptionIndex &index, const QuotaTable &quotas,
                                     base::RandomSource &random) {
-  const std::size_t width = std::max<std::size_t>(SearchWidth, 2 * request.slotsWanted);
+  const std::size_t width = std::max(SearchWidth, std::size_t{2} * request.slotsWanted);
   std::vector<std::uint32_t> slots =
       index.workersBelow(request.claimant->spec.priority, width, random);
   if (request.claimant->team->quota) {
--- a/packages/placement/src/QuotaTable.h
+++ b/packages/placement/src/QuotaTable.h
@@ -13,11 +13,15 @@
   std::optional<base::Resources> quota;
   std::size_t jobs = 0;
   base::Resources used;     ///< Of tasks that are assigned, running or stopping.
+  base::Resources fixed;    ///< The part of `used` by tasks that cannot be preempted.
   base::Resources stopping; ///< The part of `used` whose stop was requested.
   std::set<TaskRef> preemptible;
 
-  bool admits(const base::Resources &demand) const {
-    return !this->quota || (this->used + demand).fitsIn(*this->quota);
+  /// Whether the demand is within the quota. Tasks that cannot be preempted are not held up by
+  /// preemptible ones of the team, which then count as borrowing and can be called back.
+  bool admits(const base::Resources &demand, bool preemptibleDemand) const {
+    const base::Resources &taken = preemptibleDemand ? this->used : this->fixed;
+    return !this->quota || (taken + demand).fitsIn(*this->quota);
   }
   /// Tasks that are being stopped count as returned, so that no more is called back than needed.
   bool borrows() const {
@@ -36,7 +40,11 @@
 
   void take(Team &team, TaskRef task, const base::Resources &amount, bool preemptible);
   void markStopping(Team &team, const base::Resources &amount);
-  void giveBack(Team &team, TaskRef task, const base::Resources &amount, bool stopping);
+  void giveBack(Team &team, TaskRef task, const base::Resources &amount, bool preemptible,
+                bool stopping);
+
+  /// Moves a task between the two kinds after a change of its job.
+  void setPreemptible(Team &team, TaskRef task, const base::Resources &amount, bool preemptible);
 
   const std::map<std::string, Team *> &borrowers() const { return this->overQuota; }
 
--- a/packages/placement/src/TaskLifecycle.cpp
+++ b/packages/placement/src/TaskLifecycle.cpp
@@ -74,7 +74,7 @@
   if (job.spec.preemptible && !stopping)
     this->preemptible.remove(job.spec.priority, task.worker);
   const TaskRef ref{&job, index};
-  this->quotas.giveBack(*job.team, ref, task.held, stopping);
+  this->quotas.giveBack(*job.team, ref, task.held, job.spec.preemptible, stopping);
   this->workers.detach(task.worker, ref, task.held);
   if (job.isService()) {
     decrement(job.perZone, task.zone);
@@ -95,7 +95,6 @@
   task.phase = TaskPhase::Stopping;
   if (job.spec.preemptible)
     this->preemptible.remove(job.spec.priority, task.worker);
-  job.team->preemptible.erase(TaskRef{&job, index});
   this->quotas.markStopping(*job.team, task.held);
   if (preemption)
     ++task.preemptions;
--- a/packages/placement/src/WorkerIndex.cpp
+++ b/packages/placement/src/WorkerIndex.cpp
@@ -57,6 +57,7 @@
   assert(view.capacity.isValid());
   const std::uint32_t slot = this->ensure(view.id);
   Worker &worker = this->workers[slot];
+  const Resources before = worker.isUsable() ? worker.rawFree() : Resources{-1, -1, -1};
   if (worker.known)
     this->unplace(slot);
   else
@@ -72,7 +73,8 @@
   const auto number = static_cast<std::uint32_t>(this->rackNumbers.size());
   worker.rack = this->rackNumbers.emplace(view.dataCentre + "/" + view.rack, number).first->second;
   this->place(slot);
-  ++this->version;
+  if (worker.isUsable() && !worker.rawFree().fitsIn(before))
+    ++this->version;
   return slot;
 }
 
@@ -198,7 +200,6 @@
 
 void WorkerIndex::setReserved(std::uint32_t slot, const Resources &amount) {
   this->workers[slot].reserved = amount;
-  ++this->version;
   this->refresh(slot);
 }
 
--- a/packages/placement/src/WorkerIndex.h
+++ b/packages/placement/src/WorkerIndex.h
@@ -63,7 +63,9 @@
 
   /// Adds a claim for a trial, or takes it back; not counted as a change of capacity.
   void addTrial(std::uint32_t slot, const base::Resources &amount);
+  /// Not counted as a change of capacity; the caller reports one by `noteIncrease`.
   void setReserved(std::uint32_t slot, const base::Resources &amount);
+  void noteIncrease() { ++this->version; }
   void setQuarantined(std::uint32_t slot, bool value);
   void setPenalized(std::uint32_t slot, bool value);
 
