--- a/packages/http/include/banyanrill/http/Message.h
+++ b/packages/http/include/banyanrill/http/Message.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,9 @@
 /// Value of a query parameter, percent-decoded; empty if there is none.
 std::string findQuery(const std::string &query, const std::string &name);
 
+/// Percent-encodes a name or value of a query; the inverse of what `findQuery` decodes.
+std::string encodeQueryPart(std::string_view part);
+
 struct Request {
   std::string method;
   std::string path;  ///< Percent-decoded, without the query.
--- a/packages/http/src/HeaderReader.cpp
+++ b/packages/http/src/HeaderReader.cpp
@@ -1,7 +1,5 @@
 #include "HeaderReader.h"
 
-#include "PercentEncoding.h"
-
 #include <libwebsockets.h>
 #include <string_view>
 
--- a/packages/http/src/PercentEncoding.cpp
+++ b/packages/http/src/PercentEncoding.cpp
@@ -1,5 +1,7 @@
 #include "PercentEncoding.h"
 
+#include "banyanrill/http/Message.h"
+
 namespace banyanrill::http {
 
 namespace {
