--- a/packages/consensus/include/banyanrill/consensus/Replica.h
+++ b/packages/consensus/include/banyanrill/consensus/Replica.h
@@ -22,13 +22,13 @@
   base::Duration electionTimeoutMin = std::chrono::milliseconds(1000);
   base::Duration electionTimeoutMax = std::chrono::milliseconds(2000);
   std::size_t maxEntriesPerAppend = 256;
-  std::size_t maxAppendBytes = 256 * 1024;
+  std::size_t maxAppendBytes = std::size_t{256} * 1024;
   std::size_t maxInFlightAppends = 8;
-  std::size_t snapshotChunkBytes = 64 * 1024;
+  std::size_t snapshotChunkBytes = std::size_t{64} * 1024;
   /// Proposals are refused while this many entries are not committed.
   std::size_t maxUncommittedEntries = 4096;
   /// A larger snapshot from a leader is refused, to bound the memory of its assembly.
-  std::size_t maxSnapshotBytes = 64 * 1024 * 1024;
+  std::size_t maxSnapshotBytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// What a replica has on disk when it starts.
@@ -98,7 +98,7 @@
   /// Proposes a membership that differs from the current one in one member: a new learner, a
   /// removed member, a promoted learner or a demoted voter. Returns Busy until the leader has
   /// committed an entry of its own term.
-  ProposeResult proposeMembership(Membership membership, base::TimePoint now);
+  ProposeResult proposeMembership(const Membership &membership, base::TimePoint now);
 
   /// Starts a linearizable read; `ReadReady` with the same context follows while this replica
   /// stays leader. Returns false if it does not lead.
