Keep the slot and capacity of a request whose answer was lost

An owner released slot and capacity when a call timed out, while the upstream instance went on working. Change: such requests stay reserved until two announcements no longer list them, or for 120 s. Announcements list the owner's requests that run for over 1 s.

--- a/packages/daemon/include/banyanrill/daemon/OwnerRequests.h
+++ b/packages/daemon/include/banyanrill/daemon/OwnerRequests.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanrill/daemon/Action.h"
+#include "banyanrill/daemon/WorkerApi.h"
 #include "banyanrill/daemon/WorkerGateway.h"
 #include "banyanrill/routing/AdmissionQueue.h"
 #include "banyanrill/routing/UpstreamTable.h"
@@ -46,7 +47,21 @@
     base::TimePoint startedAt;
   };
 
+  /// A request without a complete answer. It may still run, so it keeps its slot and its capacity.
+  struct Abandoned {
+    std::string key;
+    std::string requestId;
+    routing::UpstreamLease lease;
+    base::TimePoint startedAt;
+    base::TimePoint abandonedAt;
+    int announcementsWithout = 0;
+  };
+
   bool dispatch(const std::string &key, Request &request);
+  void release(const std::string &key, const routing::UpstreamLease &lease,
+               routing::UpstreamOutcome outcome, base::TimePoint startedAt);
+  void releaseEnded(const Announcement &announcement);
+  void releaseExpired();
   void enqueue(const std::string &key, Request request);
   void dispatchWaiting(const std::string &service);
   void reply(const Request &request, wire::ForwardState state, base::Verdict verdict,
@@ -60,6 +75,7 @@
   routing::AdmissionQueue queue;
   std::map<std::string, Request> waiting; ///< By request and attempt; those in the queue.
   std::map<CallToken, Running> running;
+  std::vector<Abandoned> abandoned;
   std::map<std::string, CallToken> active; ///< By request and attempt; those running.
   std::uint64_t digestSequence = 0;
   base::TimePoint lastDigest;
--- a/packages/daemon/include/banyanrill/daemon/WorkerApi.h
+++ b/packages/daemon/include/banyanrill/daemon/WorkerApi.h
@@ -74,6 +74,8 @@
 struct Announcement {
   routing::UpstreamAnnouncement upstream; ///< `inProgress` counts only requests of other owners.
   base::Resources inherited;              ///< Demand of these requests.
+  /// Requests of the current owner that have run for over 1 s.
+  std::vector<std::string> slowRequests;
 
   bool operator==(const Announcement &) const = default;
 };
--- a/packages/daemon/src/OwnerRequests.cpp
+++ b/packages/daemon/src/OwnerRequests.cpp
@@ -16,6 +16,10 @@
 /// Tells other daemons that this owner is alive, also while nothing changes.
 constexpr base::Duration DigestKeepAlive = std::chrono::seconds(2);
 
+/// An instance that no longer announces itself cannot say whether a request has ended. Deadlines
+/// are at most 60 s, and no service is expected to work on a request for twice as long.
+constexpr base::Duration AbandonedTimeout = std::chrono::seconds(120);
+
 std::string keyOf(const wire::Forward &forward) {
   return forward.requestId + "." + std::to_string(forward.attempt);
 }
@@ -39,8 +43,11 @@
     : context(sharedContext), workers(gateway), ownerToken(std::move(token)),
       upstreams(routing::UpstreamTableOptions{}, base::RandomSource(sharedContext.random.next())),
       queue(routing::AdmissionOptions{}) {
-  this->workers.setDroppedHandler(
-      [this](const base::WorkerId &worker) { this->upstreams.dropWorker(worker); });
+  this->workers.setDroppedHandler([this](const base::WorkerId &worker) {
+    std::erase_if(this->abandoned,
+                  [&worker](const Abandoned &request) { return request.lease.worker == worker; });
+    this->upstreams.dropWorker(worker);
+  });
 }
 
 void OwnerRequests::onForward(base::DaemonId from, wire::Forward forward) {
@@ -125,9 +132,11 @@
   const wire::Forward &forward = done.request.forward;
   const std::string key = keyOf(forward);
   this->active.erase(key);
-  this->upstreams.release(done.lease.id, healthOf(result), this->context.now - done.startedAt,
-                          this->context.now);
-  this->workers.releaseRequest(done.lease.worker, key);
+  if (result.verdict == base::Verdict::MayHaveRun)
+    this->abandoned.push_back(
+        {key, forward.requestId, done.lease, done.startedAt, this->context.now});
+  else
+    this->release(key, done.lease, healthOf(result), done.startedAt);
 
   wire::ForwardResult answer;
   answer.requestId = forward.requestId;
@@ -146,6 +155,37 @@
   return true;
 }
 
+void OwnerRequests::release(const std::string &key, const routing::UpstreamLease &lease,
+                            routing::UpstreamOutcome outcome, base::TimePoint startedAt) {
+  this->upstreams.release(lease.id, outcome, this->context.now - startedAt, this->context.now);
+  this->workers.releaseRequest(lease.worker, key);
+}
+
+void OwnerRequests::releaseEnded(const Announcement &announcement) {
+  const std::vector<std::string> &slow = announcement.slowRequests;
+  std::erase_if(this->abandoned, [&](Abandoned &request) {
+    if (request.lease.id != announcement.upstream.id)
+      return false;
+    const bool runs = std::find(slow.begin(), slow.end(), request.requestId) != slow.end();
+    request.announcementsWithout = runs ? 0 : request.announcementsWithout + 1;
+    // The first announcement may have been sent before the request had run long enough to be
+    // listed.
+    if (request.announcementsWithout < 2)
+      return false;
+    this->release(request.key, request.lease, routing::UpstreamOutcome::Failure, request.startedAt);
+    return true;
+  });
+}
+
+void OwnerRequests::releaseExpired() {
+  std::erase_if(this->abandoned, [this](const Abandoned &request) {
+    if (this->context.now - request.abandonedAt < AbandonedTimeout)
+      return false;
+    this->release(request.key, request.lease, routing::UpstreamOutcome::Failure, request.startedAt);
+    return true;
+  });
+}
+
 void OwnerRequests::dispatchWaiting(const std::string &service) {
   while (const std::optional<routing::QueuedRequest> next =
              this->queue.pop(service, this->context.now)) {
@@ -192,6 +232,7 @@
   bool registered = false;
   if (own) {
     registered = this->upstreams.announce(announced, this->context.now);
+    this->releaseEnded(parsed.value());
     this->workers.noteInherited(announced.worker, announced.id, parsed.value().inherited);
   }
   const Peer *peer = this->context.config.find(owner);
@@ -208,6 +249,7 @@
 void OwnerRequests::onLeaving(const base::UpstreamId &upstream) { this->upstreams.leave(upstream); }
 
 void OwnerRequests::tick() {
+  this->releaseExpired();
   for (const base::UpstreamId &gone : this->upstreams.expire(this->context.now))
     base::logEvent(base::Event::UpstreamLeft, {{"upstream", gone.value}, {"reason", "silent"}});
   for (const routing::QueuedRequest &expired : this->queue.expire(this->context.now)) {
--- a/packages/daemon/src/WorkerApi.cpp
+++ b/packages/daemon/src/WorkerApi.cpp
@@ -122,7 +122,8 @@
     if (!valid)
       return malformed("/", "id and worker must not be empty, slots must be 1 to 4096, connections "
                             "positive, in_progress not negative");
-    Announcement complete{std::move(announcement), {}};
+    Announcement complete{std::move(announcement), {}, {}};
+    complete.slowRequests = value.value("slow_requests", std::vector<std::string>());
     complete.inherited = {value.value("millicores", std::int64_t{0}),
                           value.value("memory_mib", std::int64_t{0}),
                           value.value("accelerators", std::int64_t{0})};
--- a/tests/cell/TestCell.cpp
+++ b/tests/cell/TestCell.cpp
@@ -364,7 +364,9 @@
   TestWorker &worker = this->workers[upstream.worker];
   const base::Resources demand = demandOf(request);
   const std::uint64_t execution = ++this->lastExecution;
-  upstream.running[execution] = {http::findHeader(request.headers, "banyanrill-owner"), demand};
+  upstream.running[execution] = {http::findHeader(request.headers, "banyanrill-owner"), demand,
+                                 http::findHeader(request.headers, "banyanrill-request-id"),
+                                 this->now};
   worker.requestDemand = worker.requestDemand + demand;
   this->executed.push_back({http::findHeader(request.headers, "idempotency-key"),
                             http::findHeader(request.headers, "banyanrill-request-id")});
@@ -449,9 +451,13 @@
     return;
   std::int64_t others = 0;
   base::Resources inherited;
+  json slow = json::array();
   for (const auto &[number, running] : upstream.running) {
-    if (running.token == upstream.ownerToken)
+    if (running.token == upstream.ownerToken) {
+      if (this->now - running.started >= std::chrono::seconds(1))
+        slow.push_back(running.requestId);
       continue;
+    }
     ++others;
     inherited = inherited + running.demand;
   }
@@ -465,7 +471,8 @@
                      {"connections", 64},
                      {"in_progress", others},
                      {"millicores", inherited.millicores},
-                     {"memory_mib", inherited.memoryMib}};
+                     {"memory_mib", inherited.memoryMib},
+                     {"slow_requests", slow}};
   this->send(upstream.entry, {"POST", "/v1/upstreams", "", {}, body.dump()},
              [this, index](const std::optional<http::Response> &response) {
                TestUpstream &announced = this->upstreams[index];
--- a/tests/cell/TestCell.h
+++ b/tests/cell/TestCell.h
@@ -105,6 +105,8 @@
   struct RunningRequest {
     std::string token;
     base::Resources demand;
+    std::string requestId;
+    base::TimePoint started;
   };
   struct TestUpstream {
     std::string id;
--- a/tests/standins/Cell.cpp
+++ b/tests/standins/Cell.cpp
@@ -15,6 +15,8 @@
 constexpr base::Duration AnnouncementInterval = std::chrono::seconds(5);
 // Daemons hold polls for 5 s; the rest covers a slow network.
 constexpr base::Duration PollTimeout = std::chrono::seconds(8);
+// Requests that have run for this long are listed in announcements.
+constexpr base::Duration SlowRequest = std::chrono::seconds(1);
 constexpr base::Duration CallTimeout = std::chrono::seconds(3);
 constexpr base::Duration RetryInterval = std::chrono::milliseconds(500);
 constexpr base::Duration MinPollInterval = std::chrono::milliseconds(100);
@@ -293,11 +295,22 @@
                      {"in_progress", inherited},
                      {"millicores", demand.millicores},
                      {"memory_mib", demand.memoryMib},
-                     {"accelerators", demand.accelerators}};
+                     {"accelerators", demand.accelerators},
+                     {"slow_requests", this->slowRequests(index, now)}};
   upstream.call =
       this->send(upstream.callAddress, "POST", "/v1/upstreams", body, CallTimeout, handler);
 }
 
+json Cell::slowRequests(std::size_t index, base::TimePoint now) const {
+  json listed = json::array();
+  for (const auto &[end, execution] : this->executions) {
+    const bool own = execution.ownerToken == this->upstreams[index].ownerToken;
+    if (execution.upstream == index && own && now - execution.started >= SlowRequest)
+      listed.push_back(execution.requestId);
+  }
+  return listed;
+}
+
 void Cell::onAnnounceResult(std::size_t index, const http::CallResult &result) {
   Upstream &upstream = this->upstreams[index];
   const base::TimePoint now = base::steadyNow();
@@ -359,7 +372,8 @@
                       operation,
                       request.body,
                       http::findHeader(request.headers, "banyanrill-owner"),
-                      {}};
+                      {},
+                      now};
   try {
     execution.demand = parseDemand(http::findHeader(request.headers, "banyanrill-demand"));
   } catch (const std::exception &) {
--- a/tests/standins/Cell.h
+++ b/tests/standins/Cell.h
@@ -88,6 +88,7 @@
     std::string body;
     std::string ownerToken;
     base::Resources demand;
+    base::TimePoint started;
   };
 
   using CallHandler = std::function<void(const http::CallResult &)>;
@@ -95,6 +96,7 @@
   void tick(base::TimePoint now);
   void drivePolls(std::size_t index, base::TimePoint now);
   void announce(std::size_t index, base::TimePoint now);
+  nlohmann::json slowRequests(std::size_t index, base::TimePoint now) const;
   void onPollResult(std::size_t index, const http::CallResult &result);
   void onAnnounceResult(std::size_t index, const http::CallResult &result);
   void onRequest(http::ExchangeId exchange, const http::Request &request, base::TimePoint now);
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 tools/setup.sh
 BUILD=$PWD/${BANYANRILL_BUILD:-build}
-tools/build.sh "$BUILD"
+[ -n "${SKIP_BUILD:-}" ] || tools/build.sh "$BUILD"
 CELL=$(mktemp -d)
 source tools/cell.sh
 trap 'stop_all; rm -rf "$CELL"' EXIT
