--- a/packages/cli/tests/SettingsCommandTest.cpp
+++ b/packages/cli/tests/SettingsCommandTest.cpp
@@ -117,8 +117,9 @@
 
 TEST(SettingsCommand, DrainMarksTheWorker) {
   LONGS_EQUAL(ExitOk, this->run({"drain", "w-7"}).code);
-  CHECK(this->lastEdits() ==
-        json({{{"path", "/cell/workers/w-7"}, {"value", {{"draining", true}}}, {"if_version", 0}}}));
+  CHECK(
+      this->lastEdits() ==
+      json({{{"path", "/cell/workers/w-7"}, {"value", {{"draining", true}}}, {"if_version", 0}}}));
   LONGS_EQUAL(ExitOk, this->run({"drain", "w-7", "--undo"}).code);
   LONGS_EQUAL(3, this->server.requests().size()); // It was not drained, so nothing is changed.
 }
--- a/packages/control/src/State.cpp
+++ b/packages/control/src/State.cpp
@@ -232,10 +232,10 @@
     const auto &treeBytes = parsed.at("settings").get_binary();
     const auto &claimBytes = parsed.at("claims").get_binary();
     if (const base::Status status = loaded.tree.load({treeBytes.begin(), treeBytes.end()}); !status)
-      return status;
+      return status.error();
     if (const base::Status status = loaded.claimTable.load({claimBytes.begin(), claimBytes.end()});
         !status)
-      return status;
+      return status.error();
     for (const auto &[id, job] : parsed.at("jobs").items())
       loaded.jobRecords[{id}] = decodeJob({id}, job);
     loaded.timeMs = parsed.at("time").get<std::int64_t>();
--- a/packages/daemon/src/Leader.cpp
+++ b/packages/daemon/src/Leader.cpp
@@ -387,7 +387,7 @@
     if (const base::Status status =
             this->planner->checkFeasible(specOf({edit.path}, policy.value()));
         !status)
-      return status;
+      return status.error();
   }
   return std::monostate{};
 }
