Repeat the notice that an upstream instance leaves

Cause: the daemon that takes DELETE /v1/upstreams/{id} told the others once. If that message was lost, the owner went on dispatching to the instance until its announcements had been missing for 12 s. Ruled out: a late answer to an earlier announcement; the stand-in no longer announces itself. Change: the notice is repeated five times, every 500 ms, for at most 1,024 instances at a time. A process that starts again within 2.5 s under the same identifier on another port may be taken for the one that left by a repeat.

--- a/packages/daemon/include/banyanrill/daemon/Core.h
+++ b/packages/daemon/include/banyanrill/daemon/Core.h
@@ -56,6 +56,12 @@
   const Replication *replication() const { return this->log ? &*this->log : nullptr; }
 
 private:
+  struct LeavingNotice {
+    base::UpstreamId upstream;
+    int repeatsLeft = 0;
+    base::TimePoint next;
+  };
+
   Core(const Config &config, std::optional<consensus::StoredState> stored, std::uint64_t seed,
        std::uint64_t incarnation, base::TimePoint now);
 
@@ -66,6 +72,8 @@
   void on(const StorageDone &event);
   void on(const StorageFailed &event);
   void on(const StopEvent &event);
+  void announceLeaving(const base::UpstreamId &upstream);
+  void repeatLeavingNotices();
   void deliver(base::DaemonId from, std::uint64_t senderIncarnation, wire::Body body);
   void startTime(base::TimePoint now, std::int64_t wallClockMs);
   std::vector<Action> takeActions();
@@ -84,6 +92,7 @@
   OwnerRequests ownerRequests;
   EntryRequests entryRequests;
   Operators operators;
+  std::vector<LeavingNotice> leavingNotices;
   settings::Revision pushedRevision = 0;
   bool ledBefore = false;
   bool stopping = false;
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -18,6 +18,14 @@
 /// Requests have a deadline of at most 60 s.
 constexpr base::Duration FinishTimeout = std::chrono::seconds(65);
 
+/// A single notice may be lost, and a leaving instance does not announce itself again. Five repeats
+/// end 2.5 s after the first notice, within the 3 s after which the instance gets no new request.
+constexpr int LeavingRepeats = 5;
+constexpr base::Duration LeavingRepeatInterval = std::chrono::milliseconds(500);
+
+/// Beyond this number, a notice is sent once and not repeated.
+constexpr std::size_t MaxLeavingNotices = 1024;
+
 bool hasPrefix(const std::string &path, std::string_view prefix) {
   return path.rfind(prefix, 0) == 0;
 }
@@ -100,6 +108,7 @@
   this->ownerRequests.tick();
   this->entryRequests.tick(known);
   this->operators.tick(this->settings());
+  this->repeatLeavingNotices();
   if (this->stopping && this->handedOver() && this->log && this->log->leads())
     this->log->transferLeadership();
   return this->takeActions();
@@ -199,15 +208,34 @@
     return;
   }
   if (request.method == "DELETE" && hasPrefix(request.path, "/v1/upstreams/")) {
-    const wire::UpstreamLeaving leaving{{request.path.substr(Upstreams.size() + 1)}};
-    for (const Peer &peer : this->config.peers)
-      this->context.send(peer.daemon, leaving);
+    this->announceLeaving({request.path.substr(Upstreams.size() + 1)});
     this->context.respond(event.exchange, jsonResponse(200, "{}"));
     return;
   }
   this->operators.onRequest(event.exchange, request, this->settings(), this->status());
 }
 
+void Core::announceLeaving(const base::UpstreamId &upstream) {
+  for (const Peer &peer : this->config.peers)
+    this->context.send(peer.daemon, wire::UpstreamLeaving{upstream});
+  if (this->leavingNotices.size() < MaxLeavingNotices)
+    this->leavingNotices.push_back(
+        {upstream, LeavingRepeats, this->context.now + LeavingRepeatInterval});
+}
+
+void Core::repeatLeavingNotices() {
+  for (LeavingNotice &notice : this->leavingNotices) {
+    if (this->context.now < notice.next)
+      continue;
+    notice.next = this->context.now + LeavingRepeatInterval;
+    --notice.repeatsLeft;
+    for (const Peer &peer : this->config.peers)
+      this->context.send(peer.daemon, wire::UpstreamLeaving{notice.upstream});
+  }
+  std::erase_if(this->leavingNotices,
+                [](const LeavingNotice &notice) { return notice.repeatsLeft == 0; });
+}
+
 void Core::on(const DisconnectEvent &event) {
   this->gateway.onDisconnect(event.exchange);
   this->entryRequests.onDisconnect(event.exchange);
--- a/tests/cell/CellFaultsTest.cpp
+++ b/tests/cell/CellFaultsTest.cpp
@@ -1,43 +1,17 @@
 // Guards the invariants of the whole system while daemons crash, pause, restart, stop gracefully
 // and lose contact to each other and to workers. Every run is replayed from its seed.
-#include "TestCell.h"
-
-#include <cstdlib>
-#include <iostream>
+#include "CellSetup.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace banyanrill;
+using test::prepare;
+using test::setting;
 using test::TestCell;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr const char *LevelCheck =
-    R"({"repeatable":false,"millicores":700,"memory_mib":256,"deadline_ms":5000})";
-constexpr const char *Trend =
-    R"({"repeatable":true,"millicores":500,"memory_mib":256,"deadline_ms":5000})";
-
-/// Runs can be raised for a long search, for example CELL_RUNS=1000; CELL_SEED is the first seed.
-std::uint64_t setting(const char *name, std::uint64_t fallback) {
-  const char *value = std::getenv(name);
-  return value ? std::strtoull(value, nullptr, 10) : fallback;
-}
-
-void prepare(TestCell &cell) {
-  CHECK(cell.runUntil([&] { return cell.leader() != base::NoDaemon; }, 10s));
-  CHECK(cell.set("/teams/riga/operations/gauge.level-check", LevelCheck));
-  CHECK(cell.set("/teams/riga/operations/gauge.trend", Trend));
-  const auto owned = [&] {
-    std::size_t total = 0;
-    for (base::DaemonId id = 1; id <= 5; ++id)
-      total += cell.core(id)->workers().ownedWorkers();
-    return total == 8;
-  };
-  CHECK(cell.runUntil(owned, 30s));
-  cell.run(7s);
-}
-
 void injectFault(TestCell &cell) {
   base::RandomSource &random = cell.random();
   const auto any = [&random] { return static_cast<base::DaemonId>(1 + random.below(5)); };
--- a/tests/cell/TestCell.cpp
+++ b/tests/cell/TestCell.cpp
@@ -79,7 +79,8 @@
                              false,
                              this->now,
                              {}});
-    this->upstreams.push_back({"u" + std::to_string(i), i, "", i % entries.size(), this->now, {}});
+    this->upstreams.push_back(
+        {"u" + std::to_string(i), i, "", i % entries.size(), this->now, {}, false, {}});
   }
   this->at(this->now, [this] { this->tickStandins(); });
 }
@@ -356,6 +357,38 @@
   return false;
 }
 
+std::shared_ptr<OperatorRequest> TestCell::submit(base::DaemonId daemon,
+                                                  const std::string &change) {
+  auto result = std::make_shared<OperatorRequest>();
+  http::Request request{"POST", "/v1/changes", "", {}, change};
+  request.headers = {{"authorization", std::string("Bearer ") + AdminToken}};
+  this->send(daemon - 1, std::move(request),
+             [result](const std::optional<http::Response> &response) {
+               result->done = true;
+               result->status = response ? response->status : 0;
+               result->body = response ? response->body : "";
+             });
+  return result;
+}
+
+void TestCell::leave(std::size_t index, base::DaemonId through) {
+  TestUpstream &upstream = this->upstreams[index];
+  upstream.leaving = true;
+  this->send(through - 1, {"DELETE", "/v1/upstreams/" + upstream.id, "", {}, ""},
+             [this, index, through](const std::optional<http::Response> &response) {
+               if (response && response->status < 300)
+                 this->upstreams[index].left = this->now;
+               else
+                 this->at(this->now + std::chrono::milliseconds(500), [this, index, through] {
+                   this->leave(index, through % this->nodes.size() + 1);
+                 });
+             });
+}
+
+bool TestCell::hasLeft(std::size_t upstream) const {
+  return this->upstreams[upstream].left.has_value();
+}
+
 void TestCell::runUpstream(std::size_t node, const daemon::StartCall &call) {
   const http::Request &request = call.call.request;
   const std::string id = http::findHeader(request.headers, "banyanrill-upstream");
@@ -372,6 +405,8 @@
                             http::findHeader(request.headers, "banyanrill-request-id")});
   if (upstream.running.size() > static_cast<std::size_t>(Slots))
     this->found.push_back("upstream " + id + " runs more requests than it has slots");
+  if (upstream.left && this->now > *upstream.left + std::chrono::seconds(3))
+    this->found.push_back("upstream " + id + " got a request more than 3 s after it left");
   this->checkWorker(upstream.worker);
 
   const std::size_t index = upstream.worker;
@@ -447,7 +482,7 @@
 void TestCell::announce(std::size_t index) {
   TestUpstream &upstream = this->upstreams[index];
   upstream.nextAnnouncement = this->now + std::chrono::seconds(5);
-  if (this->workers[upstream.worker].cut)
+  if (this->workers[upstream.worker].cut || upstream.leaving)
     return;
   std::int64_t others = 0;
   base::Resources inherited;
--- a/tests/cell/TestCell.h
+++ b/tests/cell/TestCell.h
@@ -27,6 +27,13 @@
   http::Response response;
 };
 
+/// What an operator saw of one change.
+struct OperatorRequest {
+  bool done = false;
+  int status = 0; ///< 0 if the connection was lost.
+  std::string body;
+};
+
 /// Violations of the invariants, as sentences; empty if there are none.
 using Violations = std::vector<std::string>;
 
@@ -64,6 +71,14 @@
   /// Changes one setting; returns false if it was not confirmed as accepted.
   bool set(const std::string &path, const std::string &json);
 
+  /// Sends a change (the body of POST /v1/changes) to a live daemon and does not wait.
+  std::shared_ptr<OperatorRequest> submit(base::DaemonId daemon, const std::string &change);
+
+  /// The instance stops announcing itself and leaves through a daemon. A request that reaches it
+  /// more than 3 s after that daemon confirmed is a violation. Sent again until confirmed.
+  void leave(std::size_t upstream, base::DaemonId through);
+  bool hasLeft(std::size_t upstream) const;
+
   const std::vector<CallerRequest> &requests() const { return this->callers; }
   std::size_t executions(const std::string &key) const;
   base::RandomSource &random() { return this->randomness; }
@@ -115,6 +130,8 @@
     std::size_t entry = 0; ///< Index of the daemon to announce to.
     base::TimePoint nextAnnouncement;
     std::map<std::uint64_t, RunningRequest> running;
+    bool leaving = false;
+    std::optional<base::TimePoint> left;
   };
   using ResponseHandler = std::function<void(std::optional<http::Response>)>;
 
