--- a/tests/cell/TestCell.cpp
+++ b/tests/cell/TestCell.cpp
@@ -78,6 +78,8 @@
                              false,
                              false,
                              this->now,
+                             {},
+                             0,
                              {}});
     this->upstreams.push_back(
         {"u" + std::to_string(i), i, "", i % entries.size(), this->now, {}, false, {}});
@@ -407,6 +409,10 @@
     this->found.push_back("upstream " + id + " runs more requests than it has slots");
   if (upstream.left && this->now > *upstream.left + std::chrono::seconds(3))
     this->found.push_back("upstream " + id + " got a request more than 3 s after it left");
+  // The lease of a former owner ends before the worker accepts the next one.
+  if (worker.owner != node)
+    this->found.push_back("daemon " + std::to_string(node + 1) +
+                          " dispatched after another owner was accepted");
   this->checkWorker(upstream.worker);
 
   const std::size_t index = upstream.worker;
@@ -452,6 +458,10 @@
   const std::optional<std::size_t> node = this->nodeByPort(target->port);
   const json body = worker.worker.poll(*target, this->now);
   worker.polling = true;
+  if (const auto epoch = body.at("epoch").get<std::uint64_t>(); epoch > worker.epoch) {
+    worker.epoch = epoch;
+    worker.owner = node;
+  }
   const auto handler = [this, index](const std::optional<http::Response> &response) {
     TestWorker &polled = this->workers[index];
     polled.polling = false;
--- a/tests/cell/TestCell.h
+++ b/tests/cell/TestCell.h
@@ -112,6 +112,8 @@
     bool cut = false;
     base::TimePoint nextPoll;
     base::Resources requestDemand;
+    std::uint64_t epoch = 0;          ///< Highest epoch with which the worker polled.
+    std::optional<std::size_t> owner; ///< Node that it polled with this epoch first.
   };
   struct Execution {
     std::string key;
