--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -1,24 +1,35 @@
 #!/usr/bin/env bash
 # Functions that start and stop a small cell on loopback; sourced by demo.sh and bench.sh.
 
-# write_cell FOLDER: writes settings files for 9 daemons in two regions, 5 of them replicas, and the
-# variables HTTP_PORTS and ADMIN_TOKEN. Needs BUILD. Ports are chosen by the kernel.
+# write_cell FOLDER [9|12]: writes settings files for 9 (default) or 12 daemons in two regions, 5 of
+# them replicas, and the variables HTTP_PORTS, PEER_PORTS, DATA_CENTRES and ADMIN_TOKEN. Needs BUILD.
+# Ports are chosen by the kernel. The layout of 12 has the 5 data centres of the target.
 write_cell() {
-  local folder=$1
+  local folder=$1 count=${2:-9}
   local regions=(vidzeme vidzeme vidzeme vidzeme vidzeme vidzeme vidzeme latgale latgale)
   local centres=(riga-a riga-a riga-a riga-a sigulda-a sigulda-a sigulda-a daugavpils-a daugavpils-a)
   local replicas=(true true false false true true false true false)
+  if ((count == 12)); then
+    regions=(vidzeme vidzeme vidzeme vidzeme vidzeme vidzeme vidzeme latgale latgale latgale latgale latgale)
+    centres=(riga-a riga-a riga-a sigulda-a sigulda-a valmiera-a valmiera-a daugavpils-a daugavpils-a daugavpils-a rezekne-a rezekne-a)
+    replicas=(true true false true false true false true false false false false)
+  elif ((count != 9)); then
+    echo "write_cell: no layout for $count daemons" >&2
+    return 2
+  fi
+  DATA_CENTRES=($(printf "%s\n" "${centres[@]}" | uniq))
   local ports digest peers="" i
   ADMIN_TOKEN=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
   digest=$(printf %s "$ADMIN_TOKEN" | sha256sum | cut -d' ' -f1)
-  read -r -a ports <<<"$("$BUILD"/tests/standins/standin_ports 18)"
-  HTTP_PORTS=("${ports[@]:9:9}")
-  for i in {0..8}; do
+  read -r -a ports <<<"$("$BUILD"/tests/standins/standin_ports $((2 * count)))"
+  PEER_PORTS=("${ports[@]:0:count}")
+  HTTP_PORTS=("${ports[@]:count:count}")
+  for ((i = 0; i < count; i++)); do
     peers+="{\"daemon\":$((i + 1)),\"region\":\"${regions[i]}\",\"data_centre\":\"${centres[i]}\","
     peers+="\"address\":\"127.0.0.1\",\"peer_port\":${ports[i]},\"http_port\":${HTTP_PORTS[i]},"
     peers+="\"replica\":${replicas[i]}},"
   done
-  for i in {0..8}; do
+  for ((i = 0; i < count; i++)); do
     printf '{"cell":"demo","daemon":%d,"admin_token_sha256":"%s","data_folder":"%s","peers":[%s]}\n' \
       $((i + 1)) "$digest" "$folder/data-$((i + 1))" "${peers%,}" >"$folder/daemon-$((i + 1)).json"
   done
