Judge departures and planned stops in the stand-ins

The check did not see a request that reaches an instance after its DELETE, nor a connection that ends without an answer while nothing but planned changes happen. standin_cell records the first DELETE of each instance and can stay open after it (late_watch_ms); standin_callers marks requests of planned phases, avoids entries whose health check fails, as the platform's balancer does, and can call an instance directly. Both record what a benchmark needs: latency_ms at the instance, the time of service, and the port.

--- a/tests/standins/Callers.cpp
+++ b/tests/standins/Callers.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxRequests = 4'000'000;
 // Results come within the timeout; the rest covers a busy machine.
 constexpr base::Duration ResultMargin = std::chrono::seconds(5);
+// A balancer gives a health check about this long; a paused daemon fails it.
+constexpr base::Duration HealthTimeout = std::chrono::seconds(1);
 
 std::string bodyOf(const PlannedRequest &request, const CallerOperation &operation) {
   return json({{"key", request.key}, {"fill", std::string(operation.bodyBytes, 'x')}}).dump();
@@ -48,6 +50,11 @@
       std::chrono::milliseconds(config.value("resend_after_ms", std::int64_t{1000}));
   options.seed = config.at("seed").get<std::uint64_t>();
   options.output = config.at("output").get<std::string>();
+  options.planned = config.value("planned", false);
+  options.healthInterval =
+      std::chrono::milliseconds(config.value("health_interval_ms", std::int64_t{0}));
+  if (config.contains("direct"))
+    options.direct = config.at("direct").get<std::string>();
   if (!(options.ratePerSecond > 0) || options.duration <= base::Duration::zero())
     throw std::invalid_argument("rate_per_s, duration_ms: must be positive");
   return options;
@@ -107,7 +114,7 @@
 
 Callers::Callers(CallersOptions settings)
     : options(std::move(settings)), plan(planRequests(this->options)), output(this->options.output),
-      mailbox(MailboxSize) {
+      health(this->options.entries.size()), mailbox(MailboxSize) {
   http::LoopOptions loopOptions;
   loopOptions.serve = false;
   http::LoopHandlers handlers;
@@ -127,6 +134,7 @@
   for (std::size_t i = 0; i < this->plan.size(); ++i) {
     while (base::steadyNow() < start + this->plan[i].at)
       this->receive(start + this->plan[i].at);
+    this->checkEntries(base::steadyNow());
     this->send(i);
   }
   const base::TimePoint end = base::steadyNow() + this->options.timeout + ResultMargin;
@@ -140,7 +148,8 @@
 void Callers::send(std::size_t number) {
   const PlannedRequest &request = this->plan[number];
   const CallerOperation &operation = this->options.operations[request.operation];
-  const Address &entry = this->options.entries[request.entry];
+  const std::size_t target = this->healthyEntry(request.entry);
+  const Address &entry = this->options.entries[target];
   http::Call call;
   call.host = entry.host;
   call.port = entry.port;
@@ -155,12 +164,25 @@
     call.request.headers.emplace_back("banyanrill-deadline-ms",
                                       std::to_string(this->options.deadlineMs));
   call.request.body = bodyOf(request, operation);
-  Open state{number, call.request.body, base::steadyNow()};
+  if (this->options.direct) {
+    call.request.path = "/" + operation.name;
+    call.request.headers.emplace_back("banyanrill-upstream", *this->options.direct);
+  }
+  Open state{number, call.request.body, base::steadyNow(), target};
   this->open.emplace(this->loop->call(std::move(call)), std::move(state));
 }
 
 void Callers::receive(base::TimePoint until) {
   for (const Result &result : this->mailbox.receive(until)) {
+    const auto checked =
+        std::find_if(this->health.begin(), this->health.end(),
+                     [&](const EntryHealth &entry) { return entry.check == result.call; });
+    if (checked != this->health.end()) {
+      checked->check = 0;
+      checked->healthy =
+          result.result.verdict == base::Verdict::Ran && result.result.response.status == 200;
+      continue;
+    }
     const auto found = this->open.find(result.call);
     if (found == this->open.end())
       continue;
@@ -169,6 +191,34 @@
   }
 }
 
+void Callers::checkEntries(base::TimePoint now) {
+  if (this->options.healthInterval == base::Duration::zero())
+    return;
+  for (std::size_t i = 0; i < this->health.size(); ++i) {
+    EntryHealth &entry = this->health[i];
+    if (entry.check != 0 || now < entry.nextCheck)
+      continue;
+    http::Call call;
+    call.host = this->options.entries[i].host;
+    call.port = this->options.entries[i].port;
+    call.timeout = HealthTimeout;
+    call.request.method = "GET";
+    call.request.path = "/health";
+    entry.nextCheck = now + this->options.healthInterval;
+    entry.check = this->loop->call(std::move(call));
+  }
+}
+
+/// The planned entry, or the next one that is healthy.
+std::size_t Callers::healthyEntry(std::size_t planned) const {
+  for (std::size_t i = 0; i < this->health.size(); ++i) {
+    const std::size_t entry = (planned + i) % this->health.size();
+    if (this->health[entry].healthy)
+      return entry;
+  }
+  return planned;
+}
+
 void Callers::write(const Open &request, const Result &result) {
   const PlannedRequest &planned = this->plan[request.number];
   const CallerOperation &operation = this->options.operations[planned.operation];
@@ -183,13 +233,14 @@
                {"operation", operation.name},
                {"repeatable", operation.repeatable},
                {"sent_us", request.sent.time_since_epoch().count()},
-               {"entry", toString(this->options.entries[planned.entry])},
+               {"entry", toString(this->options.entries[request.entry])},
                {"status", complete ? response.status : 0},
                {"verdict", verdict},
                {"request_id", http::findHeader(response.headers, "banyanrill-request-id")},
                {"own", nullptr},
                {"latency_us", (result.received - request.sent).count()},
-               {"resend_of", nullptr}};
+               {"resend_of", nullptr},
+               {"planned", this->options.planned}};
   if (planned.resendOf)
     line["resend_of"] = *planned.resendOf;
   if (!complete)
@@ -197,6 +248,8 @@
   else if (const auto own =
                isOwnAnswer(response, operation.name, request.body, !operation.repeatable))
     line["own"] = *own;
+  if (const json answer = json::parse(response.body, nullptr, false); answer.is_object())
+    line["service_us"] = answer.value("service_us", std::int64_t{0});
   this->output.write("request", std::move(line), result.received);
 }
 
--- a/tests/standins/Callers.h
+++ b/tests/standins/Callers.h
@@ -37,6 +37,9 @@
   base::Duration resendAfter{}; ///< Longest time between a request and its resend.
   std::uint64_t seed = 0;
   std::string output;
+  bool planned = false;            ///< No connection may end without an answer; see Check.
+  base::Duration healthInterval{}; ///< Entries that fail their health check are avoided; zero: off.
+  std::optional<std::string> direct; ///< Upstream instance that listens at the entries itself.
 };
 
 /// Throws std::exception with the broken rule.
@@ -79,15 +82,25 @@
     std::size_t number = 0;
     std::string body;
     base::TimePoint sent;
+    std::size_t entry = 0;
+  };
+
+  struct EntryHealth {
+    bool healthy = true;
+    http::CallId check = 0; ///< In flight; zero: none.
+    base::TimePoint nextCheck;
   };
 
   void send(std::size_t number);
   void receive(base::TimePoint until);
+  void checkEntries(base::TimePoint now);
+  std::size_t healthyEntry(std::size_t planned) const;
   void write(const Open &open, const Result &result);
 
   CallersOptions options;
   std::vector<PlannedRequest> plan;
   Journal output;
+  std::vector<EntryHealth> health;
   base::Mailbox<Result> mailbox;
   std::unordered_map<http::CallId, Open> open;
   std::unique_ptr<http::Loop> loop; ///< Last: its thread uses the mailbox.
--- a/tests/standins/Cell.cpp
+++ b/tests/standins/Cell.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 namespace banyanrill::standins {
 
@@ -92,6 +93,8 @@
   options.failingWorkers = config.value("failing_workers", std::vector<std::size_t>());
   options.usageLag = millisecondsOf(config, "usage_lag_ms", 2000);
   options.drainTimeout = millisecondsOf(config, "drain_ms", 10000);
+  options.lateWatch = millisecondsOf(config, "late_watch_ms", 0);
+  options.latency = millisecondsOf(config, "latency_ms", 0);
   options.seed = config.at("seed").get<std::uint64_t>();
   options.journal = config.at("journal").get<std::string>();
   return options;
@@ -130,8 +133,6 @@
     this->upstreamById[upstream.id] = i;
     this->upstreams.push_back(std::move(upstream));
   }
-  this->journal.write("cell_start", {{"name", this->options.name}}, now);
-
   http::LoopOptions loopOptions;
   loopOptions.listenAddress = this->options.listenAddress;
   // More than all slots, so that a daemon that exceeds them is seen and not refused.
@@ -150,15 +151,20 @@
   if (!started)
     throw std::runtime_error(started.error().path + ": " + started.error().message);
   this->loop = std::move(started.value());
+  this->journal.write("cell_start", {{"name", this->options.name}, {"port", this->loop->port()}},
+                      now);
 }
 
 void Cell::run(const std::function<bool()> &stopping) {
   base::TimePoint nextTick = base::steadyNow();
   std::optional<base::TimePoint> drainEnd;
+  base::TimePoint watchEnd;
   for (;;) {
     base::TimePoint wake = nextTick;
     if (!this->executions.empty())
       wake = std::min(wake, this->executions.begin()->first);
+    if (!this->answers.empty())
+      wake = std::min(wake, this->answers.begin()->first);
     for (const Event &event : this->mailbox.receive(wake)) {
       if (event.call == 0) {
         this->onRequest(event.exchange, event.request, base::steadyNow());
@@ -177,6 +183,7 @@
       this->executions.erase(this->executions.begin());
       this->finish(execution, now);
     }
+    this->answerDue(now);
     if (now < nextTick)
       continue;
     nextTick = now + TickInterval;
@@ -184,11 +191,12 @@
     if (!this->leaving && stopping()) {
       this->leaving = true;
       drainEnd = now + this->options.drainTimeout;
+      watchEnd = now + this->options.lateWatch;
       for (Upstream &upstream : this->upstreams)
         upstream.nextAnnouncement = now;
       this->journal.write("cell_leaving", {{"name", this->options.name}}, now);
     }
-    if (drainEnd && (now >= *drainEnd || this->isDrained()))
+    if (drainEnd && (now >= *drainEnd || (now >= watchEnd && this->isDrained())))
       break;
   }
   const base::TimePoint now = base::steadyNow();
@@ -199,7 +207,7 @@
 }
 
 bool Cell::isDrained() const {
-  return this->executions.empty() && this->loop->openExchanges() == 0 &&
+  return this->executions.empty() && this->answers.empty() && this->loop->openExchanges() == 0 &&
          std::all_of(this->upstreams.begin(), this->upstreams.end(),
                      [](const Upstream &upstream) { return upstream.left; });
 }
@@ -271,6 +279,9 @@
   };
   upstream.departing = this->leaving;
   if (upstream.departing) {
+    // Only the first: the time within which requests must end counts from there.
+    if (!std::exchange(upstream.departureSent, true))
+      this->journal.write("upstream_leaving", {{"upstream", upstream.id}}, now);
     upstream.call = this->send(upstream.callAddress, "DELETE", "/v1/upstreams/" + upstream.id,
                                nullptr, CallTimeout, handler);
     return;
@@ -421,11 +432,21 @@
   const json answer = {{"request_id", execution.requestId},
                        {"operation", execution.operation},
                        {"upstream", upstream.id},
+                       {"service_us", (now - execution.started).count()},
                        {"request", execution.body}};
-  this->loop->respond(execution.exchange,
-                      {200,
-                       {{"content-type", "application/json"}},
-                       answer.dump(-1, ' ', false, json::error_handler_t::replace)});
+  http::Response response{200,
+                          {{"content-type", "application/json"}},
+                          answer.dump(-1, ' ', false, json::error_handler_t::replace)};
+  this->answers.emplace(now + 2 * this->options.latency,
+                        std::pair(execution.exchange, std::move(response)));
+}
+
+void Cell::answerDue(base::TimePoint now) {
+  while (!this->answers.empty() && this->answers.begin()->first <= now) {
+    auto &[exchange, response] = this->answers.begin()->second;
+    this->loop->respond(exchange, std::move(response));
+    this->answers.erase(this->answers.begin());
+  }
 }
 
 void Cell::record(std::size_t worker, const std::vector<TaskChange> &changes, base::TimePoint now) {
--- a/tests/standins/Cell.h
+++ b/tests/standins/Cell.h
@@ -31,6 +31,8 @@
   std::vector<std::size_t> failingWorkers;            ///< Every task that these start fails.
   base::Duration usageLag{};
   base::Duration drainTimeout{};
+  base::Duration lateWatch{}; ///< Instances that have left stay open for this long.
+  base::Duration latency{};   ///< One way, between an instance and its callers.
   std::uint64_t seed = 0;
   std::string journal;
 };
@@ -77,6 +79,7 @@
     base::TimePoint nextAnnouncement;
     bool departing = false; ///< The call in flight, or the latest one, is the departure.
     bool left = false;
+    bool departureSent = false;
   };
 
   struct Execution {
@@ -101,6 +104,7 @@
   void onAnnounceResult(std::size_t index, const http::CallResult &result);
   void onRequest(http::ExchangeId exchange, const http::Request &request, base::TimePoint now);
   void finish(const Execution &execution, base::TimePoint now);
+  void answerDue(base::TimePoint now);
   void record(std::size_t worker, const std::vector<TaskChange> &changes, base::TimePoint now);
   void checkWorker(std::size_t index, base::TimePoint now);
   void checkUpstream(const Upstream &upstream, base::TimePoint now);
@@ -118,6 +122,8 @@
   std::unordered_map<std::string, std::size_t> upstreamById;
   std::unordered_map<http::CallId, CallHandler> calls;
   std::multimap<base::TimePoint, Execution> executions; ///< By end.
+  /// Answers on their way to the daemon, by arrival.
+  std::multimap<base::TimePoint, std::pair<http::ExchangeId, http::Response>> answers;
   bool leaving = false;
   std::unique_ptr<http::Loop> loop; ///< Last: its thread uses the mailbox.
 };
--- a/tests/standins/Check.cpp
+++ b/tests/standins/Check.cpp
@@ -12,6 +12,9 @@
 
 using nlohmann::json;
 
+/// An instance that leaves gets no new work after this time (invariant I6).
+constexpr std::int64_t LeavingLimitUs = 3'000'000;
+
 /// Calls `use` with every line; the last one may be incomplete.
 template <typename Use> void forEachLine(std::istream &input, Use use) {
   std::int64_t number = 0;
@@ -37,7 +40,7 @@
 bool Summary::hasFault() const {
   return this->doubled != 0 || this->lost != 0 || this->falseDidNotRun != 0 ||
          this->twoPlaces != 0 || this->overMeans != 0 || this->overSlots != 0 ||
-         this->wrongAnswers != 0;
+         this->wrongAnswers != 0 || this->afterLeaving != 0 || this->interrupted != 0;
 }
 
 json Summary::toJson() const {
@@ -51,12 +54,15 @@
           {"two_places", this->twoPlaces},
           {"over_means", this->overMeans},
           {"over_slots", this->overSlots},
-          {"wrong_answers", this->wrongAnswers}};
+          {"wrong_answers", this->wrongAnswers},
+          {"after_leaving", this->afterLeaving},
+          {"interrupted", this->interrupted}};
 }
 
 void Check::addJournal(std::istream &journal) {
   // Runs that have not ended, by task and worker with attempt: index into `runsByTask`.
   std::map<std::pair<std::string, std::string>, std::size_t> open;
+  std::map<std::string, std::int64_t> leaving; // Time of DELETE by instance.
   std::int64_t latest = 0;
   const auto closeAll = [&] {
     for (const auto &[key, index] : open)
@@ -65,20 +71,29 @@
   };
   forEachLine(journal, [&](const json &line) {
     // The tasks of a process that was killed ended with it.
-    if (textOf(line, "event") == "cell_start")
+    if (textOf(line, "event") == "cell_start") {
       closeAll();
-    this->addLine(line, open);
+      leaving.clear();
+    }
+    this->addLine(line, open, leaving);
     latest = std::max(latest, line.value("t_us", std::int64_t{0}));
   });
   closeAll();
 }
 
 void Check::addLine(const json &line,
-                    std::map<std::pair<std::string, std::string>, std::size_t> &open) {
+                    std::map<std::pair<std::string, std::string>, std::size_t> &open,
+                    std::map<std::string, std::int64_t> &leaving) {
   const std::string event = textOf(line, "event");
   if (event == "request_start") {
     ++this->executionsByKey[textOf(line, "key")];
     this->executedRequests.insert(textOf(line, "request_id"));
+    const auto left = leaving.find(textOf(line, "upstream"));
+    if (left != leaving.end() &&
+        line.at("t_us").get<std::int64_t>() > left->second + LeavingLimitUs)
+      ++this->afterLeaving;
+  } else if (event == "upstream_leaving") {
+    leaving.emplace(textOf(line, "upstream"), line.at("t_us").get<std::int64_t>());
   } else if (event == "over") {
     ++(textOf(line, "kind") == "upstream" ? this->overSlots : this->overMeans);
   } else if (event == "job_finished") {
@@ -107,6 +122,8 @@
     request.requestId = textOf(line, "request_id");
     request.verdict = textOf(line, "verdict");
     request.repeatable = line.value("repeatable", true);
+    request.interrupted = line.value("planned", false) && line.value("status", 0) == 0 &&
+                          request.verdict != "not-sent";
     const auto own = line.find("own");
     if (own != line.end() && own->is_boolean()) {
       request.ownAnswer = own->get<bool>();
@@ -120,6 +137,7 @@
   Summary summary;
   summary.overMeans = this->overMeans;
   summary.overSlots = this->overSlots;
+  summary.afterLeaving = this->afterLeaving;
   this->judgeRequests(summary);
   this->judgeTasks(summary);
   return summary;
@@ -146,6 +164,7 @@
       ++summary.refused[request.verdict.empty() ? "none" : request.verdict];
     }
     summary.wrongAnswers += request.wrongAnswer ? 1 : 0;
+    summary.interrupted += request.interrupted ? 1 : 0;
     if (request.verdict != "did-not-run")
       key.mayHaveRun = true;
     else if (request.requestId.empty())
--- a/tests/standins/Check.h
+++ b/tests/standins/Check.h
@@ -26,6 +26,8 @@
   std::int64_t overMeans = 0;
   std::int64_t overSlots = 0;
   std::int64_t wrongAnswers = 0;
+  std::int64_t afterLeaving = 0; ///< Requests that reached an instance later than 3 s after DELETE.
+  std::int64_t interrupted = 0;  ///< Connections that ended without an answer in a planned phase.
 
   bool hasFault() const;
   nlohmann::json toJson() const;
@@ -57,10 +59,12 @@
     bool repeatable = true;
     bool ownAnswer = false;
     bool wrongAnswer = false;
+    bool interrupted = false;
   };
 
   void addLine(const nlohmann::json &line,
-               std::map<std::pair<std::string, std::string>, std::size_t> &open);
+               std::map<std::pair<std::string, std::string>, std::size_t> &open,
+               std::map<std::string, std::int64_t> &leaving);
   void judgeRequests(Summary &summary) const;
   void judgeTasks(Summary &summary) const;
 
@@ -70,6 +74,7 @@
   std::set<std::string> tasksOfFinishedJobs;
   std::int64_t overMeans = 0;
   std::int64_t overSlots = 0;
+  std::int64_t afterLeaving = 0;
   std::vector<Sent> sent;
 };
 
--- a/tests/standins/CheckTest.cpp
+++ b/tests/standins/CheckTest.cpp
@@ -109,3 +109,25 @@
   std::istringstream broken("{\"event\":\n" + Execution + "\n");
   CHECK_THROWS(std::runtime_error, check.addJournal(broken));
 }
+
+TEST(Check, RequestAfterLeavingIsFound) {
+  const auto leaving = R"({"event":"upstream_leaving","t_us":0,"upstream":"u"})";
+  const auto start = [](int time) {
+    return R"({"event":"request_start","key":"k","upstream":"u","t_us":)" + std::to_string(time) +
+           "}";
+  };
+  LONGS_EQUAL(0, judge({leaving, start(3000000)}, {}).afterLeaving);
+  LONGS_EQUAL(1, judge({leaving, start(3000001)}, {}).afterLeaving);
+  // An instance that returned under the same name.
+  const auto restart = R"({"event":"cell_start","t_us":1})";
+  LONGS_EQUAL(0, judge({leaving, restart, start(3000001)}, {}).afterLeaving);
+}
+
+TEST(Check, InterruptedConnectionIsFoundInPlannedPhases) {
+  const auto unanswered = [](const std::string &planned, const std::string &verdict) {
+    return R"({"key":"k","status":0,"planned":)" + planned + R"(,"verdict":")" + verdict + R"("})";
+  };
+  LONGS_EQUAL(1, judge({}, {unanswered("true", "")}).interrupted);
+  LONGS_EQUAL(0, judge({}, {unanswered("false", ""), unanswered("true", "not-sent")}).interrupted);
+  CHECK(judge({}, {unanswered("true", "")}).hasFault());
+}
