Count the bytes between daemons in the metrics

PeerTask counted them, but nothing showed them. peer_bytes_sent_total and peer_bytes_received_total are those of the encoded messages, without the transport's own.

--- a/packages/daemon/include/banyanrill/daemon/Core.h
+++ b/packages/daemon/include/banyanrill/daemon/Core.h
@@ -36,6 +36,12 @@
   /// Advances timers. Call at least every 50 ms.
   std::vector<Action> tick(base::TimePoint now, std::int64_t wallClockMs);
 
+  /// Bytes exchanged with other daemons so far, for the metrics.
+  void reportPeerBytes(std::uint64_t sent, std::uint64_t received) {
+    this->peerBytesSent = sent;
+    this->peerBytesReceived = received;
+  }
+
   bool isStopping() const { return this->stopping; }
 
   /// Number of this run, which its messages carry.
@@ -85,6 +91,8 @@
   EntryRequests entryRequests;
   Operators operators;
   settings::Revision pushedRevision = 0;
+  std::uint64_t peerBytesSent = 0;
+  std::uint64_t peerBytesReceived = 0;
   bool ledBefore = false;
   bool stopping = false;
   bool storageFailed = false;
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -286,7 +286,9 @@
                     {"requests_replayed_total", counters.replayed},
                     {"requests_retried_total", counters.retried},
                     {"requests_refused_did_not_run_total", counters.refusedDidNotRun},
-                    {"requests_refused_may_have_run_total", counters.refusedMayHaveRun}};
+                    {"requests_refused_may_have_run_total", counters.refusedMayHaveRun},
+                    {"peer_bytes_sent_total", this->peerBytesSent},
+                    {"peer_bytes_received_total", this->peerBytesReceived}};
   if (!this->log)
     return report;
   report.figures.emplace_back("commit_index", this->log->replica().commitIndex());
--- a/packages/daemon/src/Runtime.cpp
+++ b/packages/daemon/src/Runtime.cpp
@@ -125,6 +125,7 @@
 void Runtime::run(const std::atomic<bool> &stopRequested) {
   base::TimePoint nextTick = base::steadyNow();
   while (true) {
+    this->core->reportPeerBytes(this->peers->bytesSent(), this->peers->bytesReceived());
     for (CoreEvent &event : this->mailbox.receive(nextTick))
       this->execute(this->core->handle(std::move(event), base::steadyNow(), wallClockMs()));
     if (stopRequested && !this->core->isStopping())
