Refuse requests as unavailable until the settings have arrived

A daemon that has just started answered 404 "the operation has no policy", although the operation existed: its tree was still empty. Callers take 404 as final, and the health check does not hide the daemon during that time.

Seen by 24 answers of 404 in 8,624 requests of the fault test over real processes (daemons 1, 2, 3 and 9, right after their restart; 18 of them in the rolling restart). Ruled out: a missing or reverted setting, because the policies were set once, before the callers began, and only freshly started daemons denied them.

A daemon whose settings have revision 0 now answers 503 did-not-run. In a cell without any settings the answer is 503 as well.

--- a/packages/daemon/src/EntryRequests.cpp
+++ b/packages/daemon/src/EntryRequests.cpp
@@ -89,6 +89,12 @@
   }
   const std::string policyPath = "/teams/" + parts[2] + "/operations/" + parts[3] + "." + parts[4];
   const std::optional<settings::Value> value = settings.get(policyPath);
+  if (!value && settings.revision() == 0) {
+    // Just started: a missing policy says nothing until the settings have arrived.
+    this->refuseRequest(exchange, 503,
+                        {base::Errc::Unavailable, policyPath, "no settings received yet"});
+    return std::nullopt;
+  }
   if (!value) {
     this->refuseRequest(exchange, 404,
                         {base::Errc::NotFound, policyPath, "the operation has no policy"});
