Compare token digests in constant time and without regard to case

Settings accept digests in upper case, but a token stored so was refused, because digests were compared as text. They are now compared without regard to case and without an early exit. A token without a team, which the schema refuses, is also refused by the interface.

--- a/packages/daemon/src/Operators.cpp
+++ b/packages/daemon/src/Operators.cpp
@@ -48,6 +48,19 @@
   return identity.admin || isBelow(path, "/teams/" + identity.team);
 }
 
+int toLowerHex(char digit) { return digit >= 'A' && digit <= 'F' ? digit + ('a' - 'A') : digit; }
+
+/// Ignores case: settings accept digests in either. Takes the same time wherever two digests of one
+/// length differ, so that answers' times reveal no prefix.
+bool equalDigests(const std::string &one, const std::string &other) {
+  if (one.size() != other.size())
+    return false;
+  int difference = 0;
+  for (std::size_t i = 0; i < one.size(); ++i)
+    difference |= toLowerHex(one[i]) ^ toLowerHex(other[i]);
+  return difference == 0;
+}
+
 json optionalValue(const std::optional<std::string> &text) {
   return text ? json::parse(*text) : json(nullptr);
 }
@@ -171,13 +184,18 @@
   if (header.rfind(Scheme, 0) != 0)
     return std::nullopt;
   const std::string digest = sha256Hex(header.substr(Scheme.size()));
-  if (digest == this->context.config.adminTokenSha256)
+  if (equalDigests(digest, this->context.config.adminTokenSha256))
     return Identity{"admin", true, ""};
   for (const auto &[path, value] : settings.list("/cell/tokens")) {
     const json token = json::parse(value.json);
-    if (token.value("sha256", "") == digest)
-      return Identity{path.substr(path.rfind('/') + 1), token.value("role", "") == "admin",
+    if (!equalDigests(token.value("sha256", ""), digest))
+      continue;
+    Identity identity{path.substr(path.rfind('/') + 1), token.value("role", "") == "admin",
                       token.value("team", "")};
+    // Without a team, the token's subtree would be that of all teams.
+    if (!identity.admin && identity.team.empty())
+      return std::nullopt;
+    return identity;
   }
   return std::nullopt;
 }
