Show a team's token only the jobs of its team

The list of jobs and the explanation of a job did not look at the token, so a team saw the jobs of every other team. Both now follow the rule for reading settings; a job of another team is reported as unknown. Tests on a leader cover writes, audit, jobs and /system. The test of jobs fails with the code as before; the others passed before as well.

--- a/packages/daemon/include/banyanrill/daemon/Operators.h
+++ b/packages/daemon/include/banyanrill/daemon/Operators.h
@@ -71,8 +71,9 @@
              const settings::Tree &settings);
   bool answerWatch(const Watch &watch, const settings::Tree &settings);
   void getAudit(http::ExchangeId exchange, const http::Request &request, const Identity &identity);
-  void getJobs(http::ExchangeId exchange);
-  void explainJob(http::ExchangeId exchange, const http::Request &request);
+  void getJobs(http::ExchangeId exchange, const Identity &identity);
+  void explainJob(http::ExchangeId exchange, const http::Request &request,
+                  const Identity &identity);
   void getStatus(http::ExchangeId exchange, const settings::Tree &settings,
                  const StatusReport &status);
   void passToLeader(http::ExchangeId exchange, const http::Request &request, base::DaemonId leader);
--- a/packages/daemon/src/Operators.cpp
+++ b/packages/daemon/src/Operators.cpp
@@ -172,9 +172,9 @@
   else if (request.path == "/v1/audit")
     this->getAudit(exchange, request, *identity);
   else if (request.path == "/v1/jobs")
-    this->getJobs(exchange);
+    this->getJobs(exchange, *identity);
   else
-    this->explainJob(exchange, request);
+    this->explainJob(exchange, request, *identity);
 }
 
 std::optional<Identity> Operators::identify(const http::Request &request,
@@ -353,9 +353,11 @@
   this->context.respond(exchange, jsonResponse(200, json{{"records", std::move(records)}}.dump()));
 }
 
-void Operators::getJobs(http::ExchangeId exchange) {
+void Operators::getJobs(http::ExchangeId exchange, const Identity &identity) {
   json jobs = json::array();
   for (const auto &[id, job] : this->replication->state().jobs()) {
+    if (!mayRead(identity, id.value))
+      continue;
     std::map<std::string, std::size_t> phases;
     for (const auto &[index, task] : job.tasks)
       ++phases[phaseName(task.phase)];
@@ -367,11 +369,12 @@
   this->context.respond(exchange, jsonResponse(200, json{{"jobs", std::move(jobs)}}.dump()));
 }
 
-void Operators::explainJob(http::ExchangeId exchange, const http::Request &request) {
+void Operators::explainJob(http::ExchangeId exchange, const http::Request &request,
+                           const Identity &identity) {
   const std::string job = http::findQuery(request.query, "job");
   const auto &jobs = this->replication->state().jobs();
   const auto found = jobs.find({job});
-  if (request.path != "/v1/jobs/explain" || found == jobs.end()) {
+  if (request.path != "/v1/jobs/explain" || found == jobs.end() || !mayRead(identity, job)) {
     this->refuse(exchange, {base::Errc::NotFound, job, "no such job"});
     return;
   }
