Send the leader only changed workers, and serve only current settings

(2) The leader sent an unreachable replica the same entries every 250 ms; 2.5 MB waited for a replica with a log of 157 KB. (4) A lost confirmation request left a task as running for ever on a worker that no longer ran it (found by reading). Ruled out: a lower rate of heartbeats, which would delay the takeover; storing the commit index, which is older than what was shown. Changes: heartbeats carry changes since the acknowledged one, the load of requests is rounded to eighths; a silent peer gets heartbeats without entries; a daemon serves from its settings once they reach the leader's revision; confirmations are asked for until they are answered. Before: SettingsInForce failed.

--- a/packages/consensus/src/Replication.cpp
+++ b/packages/consensus/src/Replication.cpp
@@ -193,7 +193,9 @@
   state.nextHeartbeat = state.now + state.options.heartbeatInterval;
   state.heartbeatWanted = true;
   for (auto &[id, progress] : state.peers) {
-    retryIfStalled(progress, state.options.heartbeatInterval, state.now);
+    // A peer that does not answer gets heartbeats only: repeated entries would fill its send queue.
+    if (state.now - progress.lastContact < state.options.electionTimeoutMin)
+      retryIfStalled(progress, state.options.heartbeatInterval, state.now);
   }
   continueTransfer(state);
 }
--- a/packages/daemon/include/banyanrill/daemon/Core.h
+++ b/packages/daemon/include/banyanrill/daemon/Core.h
@@ -42,6 +42,10 @@
     this->peerBytesReceived = received;
   }
 
+  /// Whether the settings are at least as new as the leader's when this run began. Until then
+  /// nothing is served from them: an earlier run may have shown newer ones.
+  bool settingsCurrent() const { return this->current; }
+
   bool isStopping() const { return this->stopping; }
 
   /// Number of this run, which its messages carry.
@@ -102,6 +106,12 @@
   settings::Revision pushedRevision = 0;
   std::uint64_t peerBytesSent = 0;
   std::uint64_t peerBytesReceived = 0;
+  void checkCurrent();
+  base::DaemonId leaderForFeed() const;
+
+  bool current = false;
+  std::optional<settings::Revision> requiredRevision;
+  base::TimePoint lastRevisionRequest;
   bool ledBefore = false;
   bool stopping = false;
   bool storageFailed = false;
--- a/packages/daemon/include/banyanrill/daemon/Leader.h
+++ b/packages/daemon/include/banyanrill/daemon/Leader.h
@@ -46,14 +46,15 @@
   struct DaemonState {
     base::TimePoint lastHeartbeat;
     bool stopping = false;
-    std::set<base::WorkerId> adopted;
+    std::uint64_t lastSequence = 0;
+    std::set<base::WorkerId> reported; ///< All that it owns.
+    std::set<base::WorkerId> adopted;  ///< Those of which it holds the ownership lease.
   };
   struct WorkerState {
     wire::WorkerReport report;
     base::DaemonId adoptedBy = base::NoDaemon;
     std::uint64_t adoptedEpoch = 0;
     base::TimePoint lastVouched; ///< When the contact lease of an owner of it was last extended.
-    base::TimePoint lastSeen;    ///< When any daemon last reported it.
   };
 
   void activate();
@@ -63,6 +64,7 @@
   void onSettingsApplied(const settings::Change &change);
   void onTasksApplied(const control::UpdateTasks &update);
   void noteWorker(base::DaemonId from, const wire::WorkerReport &report);
+  void dropAdoption(base::DaemonId from, const base::WorkerId &worker);
   void updatePlannerWorker(const WorkerState &worker);
   bool isLive(const DaemonState &daemon) const;
   void assignOwners();
@@ -85,6 +87,8 @@
   std::map<base::WorkerId, WorkerState> workers;
   std::map<base::TaskId, base::TimePoint> lastCommand;
   std::map<base::TaskId, bool> stopWithCheckpoint;
+  /// Running tasks whose worker got a new owner that has not yet said whether they still run.
+  std::set<base::TaskId> unconfirmed;
   std::set<base::WorkerId> assignmentsInFlight;
   /// Acknowledgements to send once the updates that the events caused are applied.
   struct PendingAck {
--- a/packages/daemon/include/banyanrill/daemon/WorkerGateway.h
+++ b/packages/daemon/include/banyanrill/daemon/WorkerGateway.h
@@ -134,6 +134,7 @@
   void answerHeld();
   void answerSightings();
   std::int64_t contactMs() const;
+  void addWorkers(wire::Heartbeat &heartbeat, base::DaemonId leader);
   wire::WorkerReport report(const base::WorkerId &id, const OwnedWorker &worker) const;
 
   Context &context;
@@ -143,8 +144,12 @@
   std::map<base::WorkerId, Offer> offers;
   std::map<base::WorkerId, Sighting> sightings;
   std::uint64_t lastSequence;
-  std::uint64_t heartbeatSequence = 0;
+  std::uint64_t heartbeatSequence;
   std::map<std::uint64_t, base::TimePoint> heartbeatsSent;
+  /// Reports as the leader holds them, if it acknowledged the latest heartbeat.
+  std::map<base::WorkerId, wire::WorkerReport> reportedWorkers;
+  base::DaemonId reportedTo = base::NoDaemon;
+  std::uint64_t acknowledgedHeartbeat = 0;
   base::TimePoint lastHeartbeat;
   base::TimePoint contactUntil;
   bool stopping = false;
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -12,6 +12,9 @@
 /// Workers that do not poll within this time are left to the takeover after silence.
 constexpr base::Duration HandoverTimeout = std::chrono::seconds(10);
 
+/// One round trip between regions is about 16 ms; a lost message costs one interval.
+constexpr base::Duration RevisionRequestInterval = std::chrono::milliseconds(200);
+
 /// Time for the platform's balancer to see the failing health check.
 constexpr base::Duration BalancerDelay = std::chrono::seconds(1);
 
@@ -102,6 +105,7 @@
   } else {
     this->follower->tick();
   }
+  this->checkCurrent();
   const base::DaemonId known = this->leader();
   this->proposals.tick(known);
   this->gateway.tick(this->settings(), known);
@@ -167,8 +171,10 @@
     this->proposals.onResult(*proposed);
   } else if (auto *follow = std::get_if<wire::Follow>(&body)) {
     if (this->feedServer)
-      this->feedServer->onFollow(from, *follow, this->settings(), this->leader());
+      this->feedServer->onFollow(from, *follow, this->settings(), this->leaderForFeed());
   } else if (auto *feed = std::get_if<wire::Feed>(&body)) {
+    if (feed->leader == from)
+      this->requiredRevision = std::max(this->requiredRevision.value_or(0), feed->to);
     if (this->follower)
       this->follower->onFeed(from, *feed);
   } else if (auto *digest = std::get_if<wire::LoadDigest>(&body)) {
@@ -193,6 +199,17 @@
 
 void Core::on(RequestEvent &event) {
   const http::Request &request = event.request;
+  // Workers and upstream instances bring their own facts; all others are served from the settings.
+  const bool needsSettings = hasPrefix(request.path, "/v1/requests") ||
+                             hasPrefix(request.path, "/v1/settings") ||
+                             hasPrefix(request.path, "/v1/changes");
+  if (needsSettings && !this->current) {
+    this->context.respond(event.exchange,
+                          refusal(503, base::Verdict::DidNotRun,
+                                  {base::Errc::Unavailable, request.path,
+                                   "the settings are not known to be current yet"}));
+    return;
+  }
   if (hasPrefix(request.path, "/v1/requests/")) {
     this->entryRequests.onRequest(event.exchange, request, this->settings(), this->leader());
     return;
@@ -294,14 +311,37 @@
   if (revision == this->pushedRevision)
     return;
   this->pushedRevision = revision;
-  this->feedServer->push(this->settings(), this->leader());
+  this->feedServer->push(this->settings(), this->leaderForFeed());
+}
+
+base::DaemonId Core::leaderForFeed() const {
+  const base::DaemonId known = this->leader();
+  // A new leader does not know yet all that was committed before its term.
+  const bool notReady = known == this->config.daemon && !this->log->leads();
+  return notReady ? base::NoDaemon : known;
+}
+
+void Core::checkCurrent() {
+  if (this->current)
+    return;
+  const bool leads = this->log && this->log->leads();
+  if (leads || (this->requiredRevision && this->settings().revision() >= *this->requiredRevision)) {
+    this->current = true;
+    return;
+  }
+  const base::DaemonId known = this->leader();
+  const bool due = this->context.now - this->lastRevisionRequest >= RevisionRequestInterval;
+  if (known == base::NoDaemon || known == this->config.daemon || !due)
+    return;
+  this->lastRevisionRequest = this->context.now;
+  this->context.send(known, wire::Follow{this->settings().revision()});
 }
 
 StatusReport Core::status() const {
   StatusReport report;
   report.role = this->log ? (this->log->leads() ? "leader" : "replica") : "entry";
   report.leader = this->leader();
-  report.stopping = this->stopping;
+  report.stopping = this->stopping || !this->current;
   report.storageFailed = this->storageFailed;
   const RequestCounters &counters = this->entryRequests.counters();
   report.figures = {{"owned_workers", this->gateway.ownedWorkers()},
--- a/packages/daemon/src/Leader.cpp
+++ b/packages/daemon/src/Leader.cpp
@@ -116,25 +116,48 @@
   if (!this->isActive())
     return;
   DaemonState &daemon = this->daemons[from];
+  const bool builds = heartbeat.sequence == daemon.lastSequence + 1;
+  if (!heartbeat.complete && !builds) {
+    this->context.send(from, wire::HeartbeatAck{heartbeat.sequence, true});
+    return;
+  }
+  daemon.lastSequence = heartbeat.sequence;
   daemon.lastHeartbeat = this->context.now;
   daemon.stopping = heartbeat.stopping;
-  std::set<base::WorkerId> adopted;
+
+  std::set<base::WorkerId> gone(heartbeat.removed.begin(), heartbeat.removed.end());
+  if (heartbeat.complete)
+    gone.insert(daemon.reported.begin(), daemon.reported.end());
   for (const wire::WorkerReport &report : heartbeat.workers) {
+    gone.erase(report.id);
+    daemon.reported.insert(report.id);
     this->noteWorker(from, report);
     if (report.adopted)
-      adopted.insert(report.id);
+      daemon.adopted.insert(report.id);
+    else if (daemon.adopted.erase(report.id))
+      this->dropAdoption(from, report.id);
   }
-  for (const base::WorkerId &worker : daemon.adopted) {
-    const auto known = this->workers.find(worker);
-    if (adopted.count(worker) || known == this->workers.end() || known->second.adoptedBy != from)
-      continue;
-    known->second.adoptedBy = base::NoDaemon;
-    this->updatePlannerWorker(known->second);
+  for (const base::WorkerId &worker : gone) {
+    daemon.reported.erase(worker);
+    if (daemon.adopted.erase(worker))
+      this->dropAdoption(from, worker);
+  }
+  // The acknowledgement extends the contact lease for all workers of the daemon, changed or not.
+  for (const base::WorkerId &worker : daemon.reported) {
+    if (const auto known = this->workers.find(worker); known != this->workers.end())
+      known->second.lastVouched = this->context.now;
   }
-  daemon.adopted = std::move(adopted);
   for (const wire::WorkerReport &report : heartbeat.unowned)
     this->noteWorker(base::NoDaemon, report);
-  this->context.send(from, wire::HeartbeatAck{heartbeat.sequence});
+  this->context.send(from, wire::HeartbeatAck{heartbeat.sequence, false});
+}
+
+void Leader::dropAdoption(base::DaemonId from, const base::WorkerId &worker) {
+  const auto known = this->workers.find(worker);
+  if (known == this->workers.end() || known->second.adoptedBy != from)
+    return;
+  known->second.adoptedBy = base::NoDaemon;
+  this->updatePlannerWorker(known->second);
 }
 
 void Leader::noteWorker(base::DaemonId from, const wire::WorkerReport &report) {
@@ -144,7 +167,6 @@
   WorkerState &worker = position->second;
   if (added)
     worker.lastVouched = this->activeSince;
-  worker.lastSeen = this->context.now;
   if (report.adopted && report.epoch >= worker.adoptedEpoch) {
     const bool moved = worker.adoptedEpoch != report.epoch || worker.adoptedBy != from;
     worker.report = report;
@@ -184,6 +206,8 @@
     if (this->assignmentsInFlight.count(report.worker))
       return;
   }
+  for (const wire::TaskReport &report : events.reports)
+    this->unconfirmed.erase(report.event.task);
   control::UpdateTasks update;
   for (const wire::TaskReport &report : events.reports) {
     const placement::TaskRecord *task = this->findTask(report.event.task);
@@ -265,6 +289,8 @@
 void Leader::onTasksApplied(const control::UpdateTasks &update) {
   for (const placement::TaskRecord &task : update.tasks) {
     this->lastCommand.erase(task.id);
+    if (task.phase != placement::TaskPhase::Running)
+      this->unconfirmed.erase(task.id);
     const auto latest = this->submitted.find(task.id);
     if (latest != this->submitted.end() && latest->second == task)
       this->submitted.erase(latest);
@@ -303,6 +329,8 @@
       this->updatePlannerWorker(known);
     }
     daemon.adopted.clear();
+    // Its next heartbeat must be complete, since what it adopted is forgotten here.
+    daemon.lastSequence = 0;
   }
   if (this->context.now - this->lastAssignment >= AssignmentInterval) {
     this->lastAssignment = this->context.now;
@@ -328,6 +356,7 @@
   this->daemons.clear();
   this->workers.clear();
   this->lastCommand.clear();
+  this->unconfirmed.clear();
   this->stopWithCheckpoint.clear();
   this->assignmentsInFlight.clear();
   this->submitted.clear();
@@ -521,14 +550,16 @@
 void Leader::sendTaskCommands() {
   for (const auto &[id, job] : this->replication.state().jobs()) {
     for (const auto &[index, task] : job.tasks) {
+      const bool confirmOnly =
+          task.phase == placement::TaskPhase::Running && this->unconfirmed.count(task.id) != 0;
       const bool waiting = task.phase == placement::TaskPhase::Assigned ||
                            task.phase == placement::TaskPhase::Stopping;
-      if (!waiting)
+      if (!waiting && !confirmOnly)
         continue;
       const auto last = this->lastCommand.find(task.id);
       if (last != this->lastCommand.end() && this->context.now - last->second < CommandResend)
         continue;
-      this->sendTaskCommand(task, false);
+      this->sendTaskCommand(task, confirmOnly);
     }
   }
 }
@@ -561,8 +592,10 @@
 void Leader::confirmTasksOn(const base::WorkerId &worker) {
   for (const auto &[id, job] : this->replication.state().jobs()) {
     for (const auto &[index, task] : job.tasks) {
-      if (task.worker == worker && task.phase == placement::TaskPhase::Running)
-        this->sendTaskCommand(task, true);
+      if (task.worker != worker || task.phase != placement::TaskPhase::Running)
+        continue;
+      this->unconfirmed.insert(task.id);
+      this->sendTaskCommand(task, true);
     }
   }
 }
--- a/packages/daemon/src/WorkerGateway.cpp
+++ b/packages/daemon/src/WorkerGateway.cpp
@@ -15,9 +15,9 @@
 constexpr base::Duration OwnershipLease = std::chrono::seconds(12);
 constexpr base::Duration OwnershipMargin = std::chrono::seconds(1);
 
-/// The worker stops its tasks 20 s after it sent its last answered poll; 1 s covers clock rates. That
-/// is longer than a held poll (5 s) and the ownership lease (12 s) together, so that tasks survive a
-/// crash of the owner.
+/// The worker stops its tasks 20 s after it sent its last answered poll; 1 s covers clock rates.
+/// That is longer than a held poll (5 s) and the ownership lease (12 s) together, so that tasks
+/// survive a crash of the owner.
 constexpr base::Duration TaskLease = std::chrono::seconds(20);
 constexpr base::Duration TaskLost = std::chrono::seconds(21);
 
@@ -45,6 +45,18 @@
 /// While the last requests of a released worker run, it polls again after this time.
 constexpr base::Duration ReleaseHold = std::chrono::milliseconds(200);
 
+/// Rounds up to eighths of the capacity. The load of requests changes all the time, and each change
+/// that is reported costs the leader about 100 bytes.
+base::Resources roundUpLoad(const base::Resources &load, const base::Resources &capacity) {
+  constexpr std::int64_t Steps = 8;
+  const auto round = [](std::int64_t amount, std::int64_t total) {
+    const std::int64_t step = std::max<std::int64_t>(1, total / Steps);
+    return std::min(total, (amount + step - 1) / step * step);
+  };
+  return {round(load.millicores, capacity.millicores), round(load.memoryMib, capacity.memoryMib),
+          round(load.accelerators, capacity.accelerators)};
+}
+
 std::string taskHolder(const base::TaskId &id) { return "task:" + formatTaskId(id); }
 
 placement::TaskEventKind eventOf(WorkerTaskState state) {
@@ -65,6 +77,7 @@
 
 WorkerGateway::WorkerGateway(Context &sharedContext)
     : context(sharedContext), lastSequence(sharedContext.random.next() >> 16),
+      heartbeatSequence(sharedContext.random.next() >> 16),
       eventSequence(sharedContext.random.next() >> 16) {}
 
 void WorkerGateway::setDroppedHandler(std::function<void(const base::WorkerId &)> handler) {
@@ -409,7 +422,13 @@
   const auto sent = this->heartbeatsSent.find(ack.sequence);
   if (sent == this->heartbeatsSent.end())
     return;
+  if (ack.needsComplete) {
+    this->heartbeatDue = true;
+    this->reportedTo = base::NoDaemon;
+    return;
+  }
   this->contactUntil = std::max(this->contactUntil, sent->second + ContactLease);
+  this->acknowledgedHeartbeat = std::max(this->acknowledgedHeartbeat, ack.sequence);
   this->heartbeatsSent.erase(this->heartbeatsSent.begin(), std::next(sent));
 }
 
@@ -431,8 +450,7 @@
   wire::Heartbeat heartbeat;
   heartbeat.sequence = ++this->heartbeatSequence;
   heartbeat.stopping = this->stopping;
-  for (const auto &[id, worker] : this->owned)
-    heartbeat.workers.push_back(this->report(id, worker));
+  this->addWorkers(heartbeat, leader);
   for (const auto &[id, sighting] : this->sightings)
     heartbeat.unowned.push_back(sighting.report);
   this->heartbeatsSent[heartbeat.sequence] = this->context.now;
@@ -441,11 +459,39 @@
   this->context.send(leader, std::move(heartbeat));
 }
 
+void WorkerGateway::addWorkers(wire::Heartbeat &heartbeat, base::DaemonId leader) {
+  // After a lost heartbeat or acknowledgement it is not known what the leader holds.
+  heartbeat.complete =
+      leader != this->reportedTo || this->acknowledgedHeartbeat + 1 != heartbeat.sequence;
+  if (heartbeat.complete)
+    this->reportedWorkers.clear();
+  this->reportedTo = leader;
+  for (const auto &[id, worker] : this->owned) {
+    wire::WorkerReport current = this->report(id, worker);
+    wire::WorkerReport &reported = this->reportedWorkers[id];
+    if (current == reported)
+      continue;
+    reported = current;
+    heartbeat.workers.push_back(std::move(current));
+  }
+  std::erase_if(this->reportedWorkers, [this, &heartbeat](const auto &entry) {
+    if (this->owned.count(entry.first))
+      return false;
+    heartbeat.removed.push_back(entry.first);
+    return true;
+  });
+}
+
 wire::WorkerReport WorkerGateway::report(const base::WorkerId &id,
                                          const OwnedWorker &worker) const {
-  return {
-      id,           worker.dataCentre, worker.rack, worker.ledger.capacity(), worker.requestLoad,
-      worker.epoch, this->isOwner(id)};
+  const base::Resources capacity = worker.ledger.capacity();
+  return {id,
+          worker.dataCentre,
+          worker.rack,
+          capacity,
+          roundUpLoad(worker.requestLoad, capacity),
+          worker.epoch,
+          this->isOwner(id)};
 }
 
 void WorkerGateway::sendEvents(base::DaemonId leader) {
--- a/packages/wire/include/banyanrill/wire/Message.h
+++ b/packages/wire/include/banyanrill/wire/Message.h
@@ -30,11 +30,14 @@
   bool operator==(const WorkerReport &) const = default;
 };
 
-/// Daemon to leader, every second: what it owns and which workers have no owner.
+/// Daemon to leader, every second: what it owns and which workers have no owner. Unless `complete`,
+/// it holds only what has changed since the previous heartbeat, which was acknowledged.
 struct Heartbeat {
   std::uint64_t sequence = 0;
   bool stopping = false; ///< Planned stop: its workers are to be given to others.
+  bool complete = true;
   std::vector<WorkerReport> workers;
+  std::vector<base::WorkerId> removed; ///< No longer owned.
   std::vector<WorkerReport> unowned; ///< Workers that polled here and have no owner.
 
   bool operator==(const Heartbeat &) const = default;
@@ -44,6 +47,7 @@
 /// sent.
 struct HeartbeatAck {
   std::uint64_t sequence = 0;
+  bool needsComplete = false; ///< The leader does not hold what the heartbeat builds on.
 
   bool operator==(const HeartbeatAck &) const = default;
 };
--- a/packages/wire/src/Fields.h
+++ b/packages/wire/src/Fields.h
@@ -72,8 +72,8 @@
 namespace wire {
 BANYANRILL_FIELDS(WorkerReport, v.id, v.dataCentre, v.rack, v.capacity, v.requestLoad, v.epoch,
                   v.adopted)
-BANYANRILL_FIELDS(Heartbeat, v.sequence, v.stopping, v.workers, v.unowned)
-BANYANRILL_FIELDS(HeartbeatAck, v.sequence)
+BANYANRILL_FIELDS(Heartbeat, v.sequence, v.stopping, v.complete, v.workers, v.removed, v.unowned)
+BANYANRILL_FIELDS(HeartbeatAck, v.sequence, v.needsComplete)
 BANYANRILL_FIELDS(Propose, v.proposal, v.command)
 BANYANRILL_FIELDS(ProposeResult, v.proposal, v.state, v.leader, v.result)
 BANYANRILL_FIELDS(Follow, v.revision)
