--- a/bench/settings.cpp
+++ b/bench/settings.cpp
@@ -289,10 +289,10 @@
     gap = std::max(gap, acceptances[i] - acceptances[i - 1]);
   const bool complete = this->accepted.size() == this->sent.size() && !this->accepted.empty();
   return {
-      {"in_force_p50_ms", quantile(inForce, 0.5)},
-      {"in_force_p99_ms", quantile(inForce, 0.99)},
+      {"in_force_p50_ms", unseen == 0 ? quantile(inForce, 0.5) : json(nullptr)},
+      {"in_force_p99_ms", unseen == 0 ? quantile(inForce, 0.99) : json(nullptr)},
       {"in_force_max_ms", unseen == 0 ? quantile(inForce, 1) : json(nullptr)},
-      {"from_sending_p99_ms", quantile(fromSending, 0.99)},
+      {"from_sending_p99_ms", unseen == 0 ? quantile(fromSending, 0.99) : json(nullptr)},
       {"changes", this->sent.size()},
       {"accepted", this->accepted.size()},
       {"not_seen_everywhere", unseen},
