Stop the receiving thread before its socket is closed

A daemon that was stopped by SIGTERM logged daemon_stopped and then never exited, so that a rolling restart stopped there. Seen once in two runs of the fault test over real processes (daemon 5, 30 s after daemon_stopped). Cause, from a stack dump: nng_close waited for users of the socket, while the receiving thread held it in nng_recv, which began at the moment of the close and was not woken. Ruled out: requests in progress and the HTTP loop, because the core had finished and the loop was running.

The thread now receives with a time limit of 100 ms and is joined before the close.

--- a/packages/daemon/src/PeerTask.cpp
+++ b/packages/daemon/src/PeerTask.cpp
@@ -19,6 +19,10 @@
 /// A snapshot chunk or a caller's body with room to spare.
 constexpr std::size_t MaxMessageBytes = 16 * 1024 * 1024;
 
+/// How often the receiving thread looks whether it must end: closing a socket does not reliably
+/// wake a receive that begins at the same moment.
+constexpr nng_duration StopCheckMs = 100;
+
 constexpr nng_duration ReconnectMinMs = 50;
 constexpr nng_duration ReconnectMaxMs = 1000;
 
@@ -36,12 +40,18 @@
   std::map<base::DaemonId, nng_socket> senders;
   std::atomic<std::uint64_t> sent{0};
   std::atomic<std::uint64_t> received{0};
+  std::atomic<bool> stopping{false};
   std::thread thread;
 
   void run() {
     void *data = nullptr;
     std::size_t size = 0;
-    while (nng_recv(this->listener, &data, &size, NNG_FLAG_ALLOC) == 0) {
+    while (!this->stopping) {
+      const int failure = nng_recv(this->listener, &data, &size, NNG_FLAG_ALLOC);
+      if (failure == NNG_ETIMEDOUT)
+        continue;
+      if (failure != 0)
+        return;
       this->received += size;
       base::Result<wire::Envelope> envelope =
           wire::decodeEnvelope({static_cast<const char *>(data), size});
@@ -64,6 +74,7 @@
   state->receive = std::move(receive);
   nng_pull0_open(&state->listener);
   nng_socket_set_size(state->listener, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
+  nng_socket_set_ms(state->listener, NNG_OPT_RECVTIMEO, StopCheckMs);
   const std::string own = urlOf(config.self());
   if (const int failure = nng_listen(state->listener, own.c_str(), nullptr, 0); failure != 0) {
     nng_close(state->listener);
@@ -87,9 +98,9 @@
 PeerTask::PeerTask(std::unique_ptr<State> owned) : state(std::move(owned)) {}
 
 PeerTask::~PeerTask() {
-  // Closing wakes the thread with an error.
-  nng_close(this->state->listener);
+  this->state->stopping = true;
   this->state->thread.join();
+  nng_close(this->state->listener);
   for (auto &[daemon, sender] : this->state->senders)
     nng_close(sender);
 }
