--- a/packages/daemon/src/EntryRequests.cpp
+++ b/packages/daemon/src/EntryRequests.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t MaxBusyOwners = 3;
 constexpr std::size_t MaxKeyBytes = 256;
 constexpr std::size_t MaxOpenRequests = 4096;
-constexpr std::int64_t MaxDeadlineMs = 60 * 1000;
+constexpr std::int64_t MaxDeadlineMs = 60'000;
 
 routing::Location locationOf(const Peer &peer) { return {peer.region, peer.dataCentre}; }
 
