--- a/packages/daemon/src/Operators.cpp
+++ b/packages/daemon/src/Operators.cpp
@@ -20,7 +20,7 @@
 /// An election and one commit.
 constexpr base::Duration ChangeTimeout = std::chrono::seconds(5);
 constexpr base::Duration PassTimeout = std::chrono::seconds(7);
-constexpr std::int64_t MaxWatchMs = 30 * 1000;
+constexpr std::int64_t MaxWatchMs = 30000;
 constexpr std::size_t MaxWatches = 1024;
 constexpr std::size_t DefaultAuditLimit = 100;
 constexpr std::size_t MaxAuditLimit = 1000;
