--- a/packages/wire/include/banyanrill/wire/Message.h
+++ b/packages/wire/include/banyanrill/wire/Message.h
@@ -38,7 +38,7 @@
   bool complete = true;
   std::vector<WorkerReport> workers;
   std::vector<base::WorkerId> removed; ///< No longer owned.
-  std::vector<WorkerReport> unowned; ///< Workers that polled here and have no owner.
+  std::vector<WorkerReport> unowned;   ///< Workers that polled here and have no owner.
 
   bool operator==(const Heartbeat &) const = default;
 };
