Count the tasks that fit in one place

Cause: GangReservation and Feasibility each had the same function slotsIn; the copy in Feasibility lacked the guard against negative amounts. Ruled out: a member of base::Resources, since only placement needs it. Change: one function in placement/src/Slots. Conclusion: no change of behaviour for valid amounts.

--- a/packages/placement/src/Feasibility.cpp
+++ b/packages/placement/src/Feasibility.cpp
@@ -1,5 +1,7 @@
 #include "Feasibility.h"
 
+#include "Slots.h"
+
 #include <algorithm>
 
 namespace banyanrill::placement {
@@ -25,17 +27,6 @@
   return say("accelerators", demand.accelerators, limit.accelerators);
 }
 
-std::int64_t slotsIn(const Resources &capacity, const Resources &demand) {
-  std::int64_t slots = std::numeric_limits<std::int32_t>::max();
-  if (demand.millicores > 0)
-    slots = std::min(slots, capacity.millicores / demand.millicores);
-  if (demand.memoryMib > 0)
-    slots = std::min(slots, capacity.memoryMib / demand.memoryMib);
-  if (demand.accelerators > 0)
-    slots = std::min(slots, capacity.accelerators / demand.accelerators);
-  return slots;
-}
-
 } // namespace
 
 Status checkFeasible(const JobSpec &spec, const WorkerIndex &workers,
--- a/packages/placement/src/GangReservation.cpp
+++ b/packages/placement/src/GangReservation.cpp
@@ -1,5 +1,7 @@
 #include "GangReservation.h"
 
+#include "Slots.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -15,19 +17,6 @@
 constexpr Duration LongestHold = std::chrono::minutes(15);
 constexpr Duration ShortestHold = std::chrono::minutes(1);
 
-std::int64_t slotsIn(const Resources &free, const Resources &demand) {
-  if (!free.isValid())
-    return 0;
-  std::int64_t slots = std::numeric_limits<std::int32_t>::max();
-  if (demand.millicores > 0)
-    slots = std::min(slots, free.millicores / demand.millicores);
-  if (demand.memoryMib > 0)
-    slots = std::min(slots, free.memoryMib / demand.memoryMib);
-  if (demand.accelerators > 0)
-    slots = std::min(slots, free.accelerators / demand.accelerators);
-  return slots;
-}
-
 struct Release {
   Duration in;
   std::uint32_t slot;
