Parse the owner of a worker in one place

Cause: State and OwnerIndex each read the JSON of an owner, and findOwner had one caller left. Ruled out: keeping findOwner beside the index, which callers use. Change: parseOwner serves both; findOwner is gone. Conclusion: no change of behaviour.

--- a/packages/control/include/banyanrill/control/State.h
+++ b/packages/control/include/banyanrill/control/State.h
@@ -81,8 +81,8 @@
 /// Path under which the owner of a worker is kept in the settings.
 std::string ownerPath(const base::WorkerId &worker);
 
-/// Owner of a worker, if one was named.
-std::optional<Owner> findOwner(const settings::Tree &tree, const base::WorkerId &worker);
+/// Reads the value at an owner's path. Precondition: it satisfies the schema of that subtree.
+Owner parseOwner(const std::string &json);
 
 /// Whether a path names a job.
 bool isJobPath(const std::string &path);
--- a/packages/control/src/OwnerIndex.cpp
+++ b/packages/control/src/OwnerIndex.cpp
@@ -1,7 +1,5 @@
 #include "banyanrill/control/OwnerIndex.h"
 
-#include <nlohmann/json.hpp>
-
 namespace banyanrill::control {
 
 bool OwnerIndex::refresh(const settings::Tree &tree) {
@@ -9,11 +7,8 @@
     return false;
   this->revision = tree.revision();
   this->owners.clear();
-  for (const auto &[path, value] : tree.list("/system/owners")) {
-    const nlohmann::json parsed = nlohmann::json::parse(value.json);
-    this->owners[{path.substr(path.rfind('/') + 1)}] = {parsed.at("daemon").get<base::DaemonId>(),
-                                                        parsed.at("epoch").get<std::uint64_t>()};
-  }
+  for (const auto &[path, value] : tree.list("/system/owners"))
+    this->owners[{path.substr(path.rfind('/') + 1)}] = parseOwner(value.json);
   return true;
 }
 
--- a/packages/control/src/State.cpp
+++ b/packages/control/src/State.cpp
@@ -51,12 +51,9 @@
   return std::string(OwnerPrefix) + worker.value;
 }
 
-std::optional<Owner> findOwner(const settings::Tree &tree, const base::WorkerId &worker) {
-  const std::optional<settings::Value> value = tree.get(ownerPath(worker));
-  if (!value)
-    return std::nullopt;
-  const json parsed = json::parse(value->json);
-  return Owner{parsed.at("daemon").get<base::DaemonId>(), parsed.at("epoch").get<std::uint64_t>()};
+Owner parseOwner(const std::string &text) {
+  const json parsed = json::parse(text);
+  return {parsed.at("daemon").get<base::DaemonId>(), parsed.at("epoch").get<std::uint64_t>()};
 }
 
 bool isJobPath(const std::string &path) {
@@ -109,10 +106,11 @@
   change.author = "system";
   change.wallClockMs = this->timeMs;
   for (const OwnerAssignment &assignment : command.assignments) {
-    const std::optional<Owner> current = findOwner(this->tree, assignment.worker);
-    if (current && current->daemon == assignment.daemon)
+    const std::optional<settings::Value> known = this->tree.get(ownerPath(assignment.worker));
+    const Owner current = known ? parseOwner(known->json) : Owner{};
+    if (known && current.daemon == assignment.daemon)
       continue;
-    const json value = {{"daemon", assignment.daemon}, {"epoch", current ? current->epoch + 1 : 1}};
+    const json value = {{"daemon", assignment.daemon}, {"epoch", current.epoch + 1}};
     change.edits.push_back({ownerPath(assignment.worker), value.dump(), std::nullopt});
   }
   if (!change.edits.empty())
