--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,8 +1,12 @@
 # Declares one package: a static library from src/*.cpp, and one test program from tests/*.cpp.
 # Private libraries are not visible to packages above, so an include that skips a layer does not compile.
 function(banyanrill_package name)
+  banyanrill_folder(${name} ${CMAKE_SOURCE_DIR}/packages/${name} ${ARGN})
+endfunction()
+
+# The same for a folder elsewhere.
+function(banyanrill_folder name root)
   cmake_parse_arguments(ARG "" "" "DEPENDS;PRIVATE_LIBS" ${ARGN})
-  set(root ${CMAKE_SOURCE_DIR}/packages/${name})
   file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cpp)
   file(GLOB tests CONFIGURE_DEPENDS ${root}/tests/*.cpp)
   list(FILTER sources EXCLUDE REGEX "/Main\\.cpp$")
@@ -20,7 +24,7 @@
     target_link_libraries(${name} PRIVATE ${ARG_PRIVATE_LIBS} Threads::Threads)
   endif()
 
-  if(tests)
+  if(BANYANRILL_TESTS AND tests)
     add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/tests/support/TestMain.cpp)
     target_link_libraries(test_${name} PRIVATE ${name} ${ARG_PRIVATE_LIBS} PkgConfig::CPPUTEST rapidcheck Threads::Threads)
     # RapidCheck keeps state from its first property on; CppUTest would report it as a leak.
--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -33,31 +33,61 @@
   DaemonStopping = 1002,
   DaemonStopped = 1003,
   SettingsFileRejected = 1004,
+  MachineWasSuspended = 1005,
+  SettingsReloaded = 1006,
+  LogLinesDropped = 1007,
+  LeaderKnown = 1008,
+  LeaderUnknown = 1009,
   BecameLeader = 2001,
   LostLeadership = 2002,
   StorageFailed = 2003,
   LogTailRepaired = 2004,
+  MembershipProposed = 2005,
+  GroupFounded = 2006,
   OwnerAssigned = 3001,
   WorkerAdopted = 3002,
   WorkerGrantExpired = 3003,
   WorkerLost = 3004,
+  WorkerRegistered = 3005,
+  WorkerRemoved = 3006,
+  WorkerNotHeld = 3007,
   UpstreamAnnounced = 3101,
   UpstreamLeft = 3102,
   JobAccepted = 3201,
   JobEnded = 3202,
   TaskStarted = 3203,
   TaskEnded = 3204,
+  RunOrdered = 3205,
+  RunStopOrdered = 3206,
+  RunEnded = 3207,
+  RunReleased = 3208,
+  AdviceAnswered = 3301,
   SettingChanged = 4001,
+  ConfigurationInForce = 4002,
   RequestRefused = 5001,
+  RequestAnswered = 5002,
   HttpLoopFailed = 6001,
   PeerMessageRejected = 6002,
 };
 
-/// Sets the minimum severity and writes to standard error, one JSON object a line.
+enum class LogTarget {
+  StandardError,
+  StandardOutput, ///< Buffered and limited in bytes a second; never waits for the reader.
+};
+
+/// Sets the minimum severity and the target; one JSON object a line.
 /// Call once at start, before other threads exist.
-void initializeEventLog(std::string_view daemonName, Severity minimum);
+void initializeEventLog(std::string_view daemonName, Severity minimum,
+                        LogTarget target = LogTarget::StandardError);
 
 /// Writes one event. Thread-safe. Never pass tokens or bodies of requests.
 void logEvent(Event event, std::initializer_list<EventField> fields);
+void logEvent(Event event, std::span<const EventField> fields);
+
+/// Writes what is buffered for standard output, as far as the reader takes it. Thread-safe.
+void flushEventLog();
+
+/// Lines that were dropped because the limit was reached or the reader did not take them.
+std::uint64_t droppedLogLines();
 
 } // namespace banyanrill::base
--- /dev/null
+++ b/packages/base/src/BoundedOutput.cpp
@@ -0,0 +1,83 @@
+#include "BoundedOutput.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <unistd.h>
+
+namespace banyanrill::base {
+
+namespace {
+
+/// Long-term limit of the log of one process.
+constexpr double BytesPerSecond = 96.0 * 1024;
+
+/// What may come at once after a quiet time.
+constexpr double BurstBytes = 512.0 * 1024;
+
+/// Held back for a slow reader at most.
+constexpr std::size_t MaxBuffer = std::size_t(256) * 1024;
+
+/// A pipe that is writable takes this much without waiting (PIPE_BUF).
+constexpr std::size_t WriteBytes = 4096;
+
+} // namespace
+
+void BoundedOutput::refill(TimePoint now) {
+  if (this->refilled == TimePoint::min()) {
+    this->allowance = BurstBytes;
+  } else {
+    const std::chrono::duration<double> passed = now - this->refilled;
+    this->allowance = std::min(BurstBytes, this->allowance + passed.count() * BytesPerSecond);
+  }
+  this->refilled = now;
+}
+
+void BoundedOutput::add(std::string_view line) {
+  const std::lock_guard lock(this->mutex);
+  this->refill(steadyNow());
+  const auto size = static_cast<double>(line.size());
+  if (this->allowance < size || this->buffer.size() + line.size() > MaxBuffer) {
+    ++this->droppedLines;
+    return;
+  }
+  this->reportDropped();
+  this->allowance -= size;
+  this->buffer.append(line);
+  if (this->buffer.size() >= WriteBytes)
+    this->flushLocked();
+}
+
+void BoundedOutput::reportDropped() {
+  if (this->droppedLines == this->reportedLines)
+    return;
+  this->buffer += R"({"event":1007,"name":"log_lines_dropped","lines":)" +
+                  std::to_string(this->droppedLines - this->reportedLines) + "}\n";
+  this->reportedLines = this->droppedLines;
+}
+
+void BoundedOutput::flush() {
+  const std::lock_guard lock(this->mutex);
+  this->flushLocked();
+}
+
+void BoundedOutput::flushLocked() {
+  std::size_t written = 0;
+  while (written < this->buffer.size()) {
+    pollfd event = {this->file, POLLOUT, 0};
+    if (poll(&event, 1, 0) <= 0 || (event.revents & POLLOUT) == 0)
+      break;
+    const std::size_t size = std::min(WriteBytes, this->buffer.size() - written);
+    const ssize_t count = write(this->file, this->buffer.data() + written, size);
+    if (count <= 0)
+      break;
+    written += static_cast<std::size_t>(count);
+  }
+  this->buffer.erase(0, written);
+}
+
+std::uint64_t BoundedOutput::dropped() const {
+  const std::lock_guard lock(this->mutex);
+  return this->droppedLines;
+}
+
+} // namespace banyanrill::base
--- /dev/null
+++ b/packages/base/src/BoundedOutput.h
@@ -0,0 +1,41 @@
+// Lines for a file descriptor whose reader may be slow: buffered, limited in bytes a second, and
+// dropped and counted beyond that. Writing never waits.
+#pragma once
+
+#include "banyanrill/base/Time.h"
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace banyanrill::base {
+
+/// Thread-safe.
+class BoundedOutput {
+public:
+  explicit BoundedOutput(int descriptor) : file(descriptor) {}
+
+  /// Adds a line that ends with a line break.
+  void add(std::string_view line);
+
+  /// Writes what the reader takes now.
+  void flush();
+
+  std::uint64_t dropped() const;
+
+private:
+  void refill(TimePoint now);
+  void flushLocked();
+  void reportDropped();
+
+  const int file;
+  mutable std::mutex mutex;
+  std::string buffer;
+  double allowance = 0; ///< Bytes that may be added now.
+  TimePoint refilled = TimePoint::min();
+  std::uint64_t droppedLines = 0;
+  std::uint64_t reportedLines = 0;
+};
+
+} // namespace banyanrill::base
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -1,37 +1,62 @@
 #include "banyanrill/base/EventLog.h"
 
+#include "BoundedOutput.h"
+
 #include <array>
 #include <cassert>
 #include <cstdio>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 namespace banyanrill::base {
 
 namespace {
 
-constexpr std::array<EventDefinition, 22> Catalogue = {{
+constexpr std::array<EventDefinition, 39> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
     {1004, Severity::Error, "settings_file_rejected", "The settings file breaks a rule."},
+    {1005, Severity::Warning, "machine_was_suspended", "The machine stood still for some time."},
+    {1006, Severity::Info, "settings_reloaded", "Changed settings are in force."},
+    {1007, Severity::Warning, "log_lines_dropped", "Log lines were dropped to keep the limit."},
+    {1008, Severity::Info, "leader_known",
+     "This daemon knows the leader and passes requests to it."},
+    {1009, Severity::Warning, "leader_unknown", "This daemon knows no leader that answers."},
     {2001, Severity::Info, "became_leader", "This replica was elected leader."},
     {2002, Severity::Info, "lost_leadership", "This replica is no longer the leader."},
     {2003, Severity::Error, "storage_failed", "A write or sync failed; the replica stops."},
     {2004, Severity::Warning, "log_tail_repaired", "An incomplete record was cut off the log."},
+    {2005, Severity::Info, "membership_proposed", "The leader changes the members of the group."},
+    {2006, Severity::Info, "group_founded", "The first members of the group agreed on themselves."},
     {3001, Severity::Info, "owner_assigned", "The leader named the owner of a worker."},
     {3002, Severity::Info, "worker_adopted", "This daemon is now the owner of a worker."},
     {3003, Severity::Warning, "worker_grant_expired", "A worker stopped polling its owner."},
     {3004, Severity::Warning, "worker_lost", "The tasks of a silent worker are given up."},
+    {3005, Severity::Info, "worker_registered", "A worker's report changed what is known of it."},
+    {3006, Severity::Warning, "worker_removed", "A worker has gone; its runs are placed again."},
+    {3007, Severity::Warning, "worker_not_held", "A worker did not renew its lease."},
     {3101, Severity::Info, "upstream_announced", "A new upstream instance announced itself."},
     {3102, Severity::Info, "upstream_left", "An upstream instance left or fell silent."},
     {3201, Severity::Info, "job_accepted", "A job was accepted."},
     {3202, Severity::Info, "job_ended", "A job ended, with the reason."},
     {3203, Severity::Debug, "task_started", "A worker confirmed the start of a task."},
     {3204, Severity::Debug, "task_ended", "A task ended, with its outcome."},
+    {3205, Severity::Info, "run_ordered",
+     "A worker answered the order to start a run, or did not."},
+    {3206, Severity::Info, "run_stop_ordered",
+     "A worker answered the order to stop a run, or did not."},
+    {3207, Severity::Info, "run_ended", "The end of a run is recorded."},
+    {3208, Severity::Info, "run_released", "A run certainly does not exist; its task waits again."},
+    {3301, Severity::Info, "advice_answered",
+     "The advisory service named workers for a step, or failed."},
     {4001, Severity::Info, "setting_changed", "A change of settings was applied."},
+    {4002, Severity::Info, "configuration_in_force", "A configuration is in force."},
     {5001, Severity::Info, "request_refused", "A caller's request was refused, with the verdict."},
+    {5002, Severity::Info, "request_answered", "A request was answered, with its outcome."},
     {6001, Severity::Error, "http_loop_failed", "The HTTP server could not start or failed."},
     {6002, Severity::Warning, "peer_message_rejected", "A message from a peer was not valid."},
 }};
@@ -74,6 +99,32 @@
   out += '"';
 }
 
+BoundedOutput &standardOutput() {
+  static BoundedOutput output(STDOUT_FILENO);
+  return output;
+}
+
+/// Passes formatted lines to the bounded output.
+class BoundedAppender : public log4cxx::AppenderSkeleton {
+public:
+  explicit BoundedAppender(const log4cxx::LayoutPtr &lineLayout)
+      : log4cxx::AppenderSkeleton(lineLayout), lines(lineLayout) {}
+
+  void close() override { standardOutput().flush(); }
+  bool requiresLayout() const override { return true; }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override {
+    log4cxx::LogString text;
+    this->lines->format(text, event, pool);
+    LOG4CXX_ENCODE_CHAR(line, text);
+    standardOutput().add(line);
+  }
+
+private:
+  const log4cxx::LayoutPtr lines;
+};
+
 const EventDefinition &definitionOf(Event event) {
   for (const EventDefinition &definition : Catalogue) {
     if (definition.number == static_cast<std::uint32_t>(event))
@@ -87,20 +138,30 @@
 
 std::span<const EventDefinition> eventCatalogue() { return Catalogue; }
 
-void initializeEventLog(std::string_view daemonName, Severity minimum) {
+void initializeEventLog(std::string_view daemonName, Severity minimum, LogTarget target) {
   std::string pattern = "{\"time\":\"%d{ISO8601}\",\"daemon\":";
   appendQuoted(pattern, daemonName);
   pattern += ",%m}%n";
   auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  auto appender =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
   logger()->setAdditivity(false);
   logger()->removeAllAppenders();
-  logger()->addAppender(appender);
+  if (target == LogTarget::StandardOutput)
+    logger()->addAppender(std::make_shared<BoundedAppender>(layout));
+  else
+    logger()->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr()));
   logger()->setLevel(levelOf(minimum));
 }
 
 void logEvent(Event event, std::initializer_list<EventField> fields) {
+  logEvent(event, std::span<const EventField>(fields.begin(), fields.size()));
+}
+
+void flushEventLog() { standardOutput().flush(); }
+
+std::uint64_t droppedLogLines() { return standardOutput().dropped(); }
+
+void logEvent(Event event, std::span<const EventField> fields) {
   const EventDefinition &definition = definitionOf(event);
   const log4cxx::LevelPtr level = levelOf(definition.severity);
   if (!logger()->isEnabledFor(level))
--- a/packages/daemon/include/banyanrill/daemon/StorageTask.h
+++ b/packages/daemon/include/banyanrill/daemon/StorageTask.h
@@ -20,6 +20,10 @@
 base::Result<storage::LogStore> openDataFolder(const Config &config,
                                                consensus::StoredState &stored);
 
+/// As above, for a folder whose replica is not known beforehand; `replica` is set to it.
+base::Result<storage::LogStore>
+openDataFolder(const std::string &folder, consensus::StoredState &stored, base::DaemonId &replica);
+
 /// Owns the folder and a thread. `post` is thread-safe.
 class StorageTask {
 public:
--- a/packages/daemon/src/Main.cpp
+++ b/packages/daemon/src/Main.cpp
@@ -2,6 +2,7 @@
 #include "banyanrill/daemon/Config.h"
 #include "banyanrill/daemon/Runtime.h"
 #include "banyanrill/daemon/StorageTask.h"
+#include "banyanrill/platform/Adapter.h"
 
 #include <CLI/CLI.hpp>
 #include <atomic>
@@ -23,6 +24,14 @@
     std::_Exit(ExitInterrupted);
 }
 
+int reportStatus(const banyanrill::base::Status &status) {
+  if (status)
+    return 0;
+  std::fprintf(stderr, "banyanrilld: %s: %s\n", status.error().path.c_str(),
+               status.error().message.c_str());
+  return ExitFailed;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -30,12 +39,24 @@
   std::string settingsFile;
   bool checkOnly = false;
   bool initialize = false;
-  app.add_option("settings", settingsFile, "Settings file in JSON")->required();
+  bool onPlatform = false;
+  CLI::Option *file = app.add_option("settings", settingsFile, "Settings file in JSON");
+  CLI::Option *platform = app.add_flag(
+      "--platform", onPlatform, "Run on the users' platform, with the settings file that it names");
+  platform->excludes(file);
   app.add_flag("--check", checkOnly, "Check the settings file and exit");
   app.add_flag("--initialize", initialize, "Create the data folder of a new replica and exit");
   app.set_version_flag("--version", BANYANRILL_VERSION);
   CLI11_PARSE(app, argc, argv);
 
+  if (onPlatform) {
+    std::signal(SIGPIPE, SIG_IGN);
+    return reportStatus(banyanrill::platform::run());
+  }
+  if (settingsFile.empty()) {
+    std::fprintf(stderr, "banyanrilld: a settings file or --platform is required\n");
+    return ExitSettingsRejected;
+  }
   const auto config = banyanrill::daemon::readConfig(settingsFile);
   if (!config) {
     std::fprintf(stderr, "banyanrilld: %s: %s: %s\n", settingsFile.c_str(),
@@ -57,11 +78,5 @@
   std::signal(SIGTERM, onSignal);
   std::signal(SIGINT, onSignal);
   std::signal(SIGPIPE, SIG_IGN);
-  const banyanrill::base::Status status =
-      banyanrill::daemon::runDaemon(config.value(), stopRequested);
-  if (status)
-    return 0;
-  std::fprintf(stderr, "banyanrilld: %s: %s\n", status.error().path.c_str(),
-               status.error().message.c_str());
-  return ExitFailed;
+  return reportStatus(banyanrill::daemon::runDaemon(config.value(), stopRequested));
 }
--- a/packages/daemon/src/StorageTask.cpp
+++ b/packages/daemon/src/StorageTask.cpp
@@ -40,18 +40,25 @@
 
 base::Result<storage::LogStore> openDataFolder(const Config &config,
                                                consensus::StoredState &stored) {
-  storage::RecoveredState recovered;
-  base::Result<storage::LogStore> store = storage::LogStore::open(config.dataFolder, recovered);
+  base::DaemonId replica = base::NoDaemon;
+  base::Result<storage::LogStore> store = openDataFolder(config.dataFolder, stored, replica);
   if (!store && store.error().code == base::Errc::NotFound)
     return base::Error{base::Errc::NotFound, config.dataFolder,
                        "the data folder does not exist; use --initialize for a replica that never "
                        "ran, and never for one whose disk was lost"};
+  if (store && replica != config.daemon)
+    return base::Error{base::Errc::DataCorrupted, config.dataFolder,
+                       "the folder belongs to daemon " + std::to_string(replica)};
+  return store;
+}
+
+base::Result<storage::LogStore>
+openDataFolder(const std::string &folder, consensus::StoredState &stored, base::DaemonId &replica) {
+  storage::RecoveredState recovered;
+  base::Result<storage::LogStore> store = storage::LogStore::open(folder, recovered);
   if (!store)
     return store;
-  if (recovered.identity.replica != config.daemon)
-    return base::Error{base::Errc::DataCorrupted, config.dataFolder,
-                       "the folder belongs to daemon " +
-                           std::to_string(recovered.identity.replica)};
+  replica = recovered.identity.replica;
   if (recovered.repairedBytes > 0)
     base::logEvent(base::Event::LogTailRepaired,
                    {{"bytes", std::to_string(recovered.repairedBytes)}});
--- a/packages/http/include/banyanrill/http/Loop.h
+++ b/packages/http/include/banyanrill/http/Loop.h
@@ -29,10 +29,19 @@
   bool operator==(const TlsFiles &) const = default;
 };
 
+struct Listener {
+  std::string address;
+  std::uint16_t port = 0;
+
+  bool operator==(const Listener &) const = default;
+};
+
 struct LoopOptions {
   std::string listenAddress = "127.0.0.1";
   std::uint16_t port = 0; ///< 0: the kernel chooses; see `Loop::port`.
-  bool serve = true;      ///< False: client only.
+  /// Further addresses, without TLS; `Request::listener` tells where a request came in.
+  std::vector<Listener> moreListeners;
+  bool serve = true; ///< False: client only.
   TlsFiles tls;
   std::size_t maxBodyBytes = std::size_t(1024) * 1024; ///< Larger requests get 413.
   std::size_t maxHeadBytes =
@@ -82,6 +91,8 @@
   std::function<void(ExchangeId, Request)> onRequest;
   std::function<void(ExchangeId)> onDisconnect; ///< The caller has gone before the answer.
   std::function<void(CallId, CallResult)> onCallResult;
+  /// The time given to `Loop::wakeAt` has come.
+  std::function<void()> onWake;
 };
 
 /// Owns the event loop, its sockets and its thread. All member functions are thread-safe.
@@ -108,6 +119,12 @@
   /// Gives up a call; its result is reported as MayHaveRun or DidNotRun.
   void cancel(CallId call);
 
+  /// Runs a function on the loop's thread.
+  void run(std::function<void()> function);
+
+  /// Calls `onWake` once at this time, which replaces an earlier one. Loop thread only.
+  void wakeAt(base::TimePoint time);
+
   /// Stops accepting connections and requests (503 with `Connection: close`); open exchanges go on.
   void drain();
 
--- a/packages/http/include/banyanrill/http/Message.h
+++ b/packages/http/include/banyanrill/http/Message.h
@@ -27,6 +27,7 @@
   std::string query; ///< As received, without the question mark.
   Headers headers;
   std::string body;
+  std::uint16_t listener = 0; ///< Server side: 0, or 1 + index in `LoopOptions::moreListeners`.
 
   bool operator==(const Request &) const = default;
 };
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -1,6 +1,7 @@
 #include "banyanrill/http/Loop.h"
 
 #include "CallTable.h"
+#include "DeadlineQueue.h"
 #include "Server.h"
 #include "banyanrill/base/EventLog.h"
 
@@ -68,6 +69,7 @@
   lws_context *context = nullptr;
   std::optional<Server> server;
   std::optional<CallTable> calls;
+  std::optional<DeadlineQueue> alarm;
   std::uint16_t port = 0;
   std::atomic<CallId> lastCall = 0;
 
@@ -79,6 +81,7 @@
 
   base::Status open();
   base::Status listen();
+  base::Status listenMore();
   void post(std::function<void()> command);
   void run();
   void runCommands();
@@ -148,7 +151,38 @@
   if (this->context == nullptr)
     return unavailable("The event loop cannot be created.");
   this->calls.emplace(this->context, this->protocols.data(), this->options, this->handlers);
-  return this->options.serve ? this->listen() : base::Status(std::monostate());
+  this->alarm.emplace(this->context, [this](DeadlineQueue::Key) {
+    if (this->handlers.onWake)
+      this->handlers.onWake();
+  });
+  if (!this->options.serve)
+    return std::monostate();
+  const base::Status listening = this->listen();
+  return listening ? this->listenMore() : listening;
+}
+
+base::Status Loop::State::listenMore() {
+  std::uint16_t index = 0;
+  for (const Listener &listener : this->options.moreListeners) {
+    ++index;
+    const std::string name = "server" + std::to_string(index);
+    lws_context_creation_info info = {};
+    info.vhost_name = name.c_str();
+    info.iface = listener.address.c_str();
+    info.port = listener.port;
+    info.protocols = this->protocols.data();
+    info.keepalive_timeout = roundUpToSeconds(this->options.keepAliveTimeout);
+    info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6 |
+                   LWS_SERVER_OPTION_FALLBACK_TO_APPLY_LISTEN_ACCEPT_CONFIG;
+    info.listen_accept_role = "raw-skt";
+    info.listen_accept_protocol = this->protocols[0].name;
+    lws_vhost *vhost = lws_create_vhost(this->context, &info);
+    if (vhost == nullptr)
+      return unavailable("Cannot listen on " + listener.address + ':' +
+                         std::to_string(listener.port) + '.');
+    this->server->addListener(vhost, index);
+  }
+  return std::monostate();
 }
 
 base::Status Loop::State::listen() {
@@ -206,23 +240,31 @@
 void Loop::State::post(std::function<void()> command) {
   {
     std::unique_lock lock(this->mutex);
-    if (std::this_thread::get_id() != this->thread.get_id())
+    const bool onLoop = std::this_thread::get_id() == this->thread.get_id();
+    if (!onLoop)
       this->spaceFreed.wait(
           lock, [this] { return this->commands.size() < MaxCommands || this->stopping; });
     this->commands.push_back(std::move(command));
+    if (onLoop)
+      return; // The loop runs commands after each round of events, so it needs no wake-up.
   }
   lws_cancel_service(this->context);
 }
 
 void Loop::State::runCommands() {
   std::deque<std::function<void()>> taken;
-  {
-    std::lock_guard lock(this->mutex);
-    taken.swap(this->commands);
+  for (;;) {
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->commands.empty())
+        return;
+      taken.swap(this->commands);
+    }
+    this->spaceFreed.notify_all();
+    for (const std::function<void()> &command : taken)
+      command();
+    taken.clear();
   }
-  this->spaceFreed.notify_all();
-  for (const std::function<void()> &command : taken)
-    command();
 }
 
 void Loop::State::run() {
@@ -240,6 +282,7 @@
     this->server->stop();
   this->runCommands();
   this->calls->stop();
+  this->alarm.reset();
   std::lock_guard lock(contextMutex());
   lws_context_destroy(this->context);
 }
@@ -308,6 +351,13 @@
   target->post([target, call] { target->calls->cancel(call); });
 }
 
+void Loop::run(std::function<void()> function) { this->state->post(std::move(function)); }
+
+void Loop::wakeAt(base::TimePoint time) {
+  constexpr DeadlineQueue::Key OnlyKey = 0;
+  this->state->alarm->set(OnlyKey, time - base::steadyNow());
+}
+
 void Loop::drain() {
   State *target = this->state.get();
   target->post([target] {
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -172,6 +172,8 @@
     return 0;
   }
   connection.request = std::move(*request);
+  if (const auto found = this->listeners.find(lws_get_vhost(wsi)); found != this->listeners.end())
+    connection.request.listener = found->second;
   if (!isHttp1(wsi)) {
     this->refuse(connection, 400, "malformed", "The version of HTTP is not 1.0 or 1.1.");
     return 0;
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -21,6 +21,9 @@
 public:
   Server(lws_context *context, const LoopOptions &options, const LoopHandlers &handlers);
 
+  /// Requests that come in at this virtual host carry the number.
+  void addListener(lws_vhost *vhost, std::uint16_t number) { this->listeners[vhost] = number; }
+
   /// Handles one callback of a connection. Nonzero: libwebsockets closes the connection.
   int onEvent(lws *wsi, lws_callback_reasons reason, void *input, std::size_t length);
 
@@ -74,6 +77,7 @@
 
   const LoopOptions &options;
   const LoopHandlers &handlers;
+  std::unordered_map<lws_vhost *, std::uint16_t> listeners;
   std::unordered_map<lws *, std::unique_ptr<Connection>> connections;
   std::unordered_map<std::uint64_t, Connection *> byNumber;
   std::unordered_map<ExchangeId, Connection *> exchanges;
--- /dev/null
+++ b/packages/jobs/include/banyanrill/jobs/Api.h
@@ -0,0 +1,100 @@
+// Requests from callers, operators and workers, and their answers, independent of any encoding.
+#pragma once
+
+#include "banyanrill/jobs/Model.h"
+
+#include <variant>
+
+namespace banyanrill::jobs {
+
+/// Hands a job in. `path` is the whole path; its part after the queue's prefix is the identifier.
+struct SubmitRequest {
+  std::string host;
+  std::string path;
+  JobSpec spec; ///< Without the identifier.
+  bool operator==(const SubmitRequest &) const = default;
+};
+
+/// Asks for a job's state, or for a queue's length if the path ends with the queue's prefix.
+struct StateRequest {
+  std::string host;
+  std::string path;
+  bool operator==(const StateRequest &) const = default;
+};
+
+struct CancelRequest {
+  std::string host;
+  std::string path;
+  bool operator==(const CancelRequest &) const = default;
+};
+
+struct ConfigureRequest {
+  Configuration configuration;
+  bool operator==(const ConfigureRequest &) const = default;
+};
+
+struct ReadConfigurationRequest {
+  bool operator==(const ReadConfigurationRequest &) const = default;
+};
+
+/// A worker's report of itself. `clockMs` is its steady clock.
+struct WorkerReport {
+  WorkerProfile profile;
+  std::int64_t clockMs = 0;
+  std::uint64_t sequence = 0;
+  bool operator==(const WorkerReport &) const = default;
+};
+
+struct WorkerLeaves {
+  std::string worker;
+  bool operator==(const WorkerLeaves &) const = default;
+};
+
+struct WaveRequest {
+  Wave wave;
+  bool operator==(const WaveRequest &) const = default;
+};
+
+struct WaveStateRequest {
+  std::uint64_t wave = 0;
+  bool operator==(const WaveStateRequest &) const = default;
+};
+
+using Request = std::variant<SubmitRequest, StateRequest, CancelRequest, ConfigureRequest,
+                             ReadConfigurationRequest, WorkerReport, WorkerLeaves, WaveRequest,
+                             WaveStateRequest>;
+
+enum class ReplyCode : std::uint8_t {
+  Done,
+  Invalid, ///< The request breaks a rule; nothing changed.
+  NoSuchQueue,
+  NoSuchJob,
+  Busy,        ///< Refused because too much is waiting; did not run.
+  Unavailable, ///< Did not run: there is no leader, or it has no configuration.
+  InDoubt,     ///< May have run: the leader was lost before its answer.
+};
+
+struct Reply {
+  ReplyCode code = ReplyCode::Done;
+  std::string message;                  ///< Why not, for the caller's and the daemon's log.
+  std::int64_t retryAfterMs = 0;        ///< Busy and Unavailable: when to come back.
+  std::optional<JobPhase> phase;        ///< StateRequest for a job.
+  bool started = false;                 ///< StateRequest for a job.
+  std::optional<std::uint64_t> waiting; ///< StateRequest for a queue.
+  std::string document;                 ///< ReadConfigurationRequest.
+  std::string reportTo;                 ///< WorkerReport: host:port for later reports.
+  bool waveDone = false;                ///< WaveStateRequest.
+  bool operator==(const Reply &) const = default;
+};
+
+/// For logs: the job, worker, queue or version that a request is about.
+std::string subjectOf(const Request &request);
+
+/// For logs: what is asked for.
+std::string_view nameOf(const Request &request);
+
+std::string_view nameOf(ReplyCode code);
+std::string_view nameOf(JobPhase phase);
+std::string_view nameOf(EndKind kind);
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/include/banyanrill/jobs/Command.h
@@ -0,0 +1,112 @@
+// Commands of the replicated log that change the job table.
+#pragma once
+
+#include "banyanrill/jobs/Model.h"
+
+#include <variant>
+
+namespace banyanrill::jobs {
+
+struct PutConfiguration {
+  Configuration configuration;
+  bool operator==(const PutConfiguration &) const = default;
+};
+
+/// Ignored if the job exists.
+struct AcceptJob {
+  JobSpec spec;
+  Queue queue;
+  bool operator==(const AcceptJob &) const = default;
+};
+
+struct CancelJob {
+  std::string job;
+  bool operator==(const CancelJob &) const = default;
+};
+
+/// Occurrences below `count` are due.
+struct OpenOccurrences {
+  std::string job;
+  std::uint32_t count = 0;
+  bool operator==(const OpenOccurrences &) const = default;
+};
+
+struct PlacedRun {
+  RunKey run;
+  std::string worker;
+  bool operator==(const PlacedRun &) const = default;
+};
+
+/// Must be durable before the order to start leaves, so that no other leader places the task.
+struct PlaceRuns {
+  std::uint64_t term = 0;
+  std::vector<PlacedRun> runs;
+  bool operator==(const PlaceRuns &) const = default;
+};
+
+/// Ends that a worker listed. Durable before the worker may forget them.
+struct RecordEnds {
+  WorkerLife worker;
+  std::vector<TaskEnd> ends;
+  bool operator==(const RecordEnds &) const = default;
+};
+
+/// Runs that certainly do not exist and cannot start any more.
+struct ReleasedRun {
+  RunKey run;
+  std::string worker;
+  std::string checkpoint; ///< Last one seen; empty: keep the known one.
+  bool operator==(const ReleasedRun &) const = default;
+};
+
+struct ReleaseRuns {
+  std::vector<ReleasedRun> runs;
+  bool operator==(const ReleaseRuns &) const = default;
+};
+
+struct RegisterWorker {
+  WorkerProfile profile;
+  bool operator==(const RegisterWorker &) const = default;
+};
+
+/// Everything that was placed there is gone, with the checkpoints last seen.
+struct RemoveWorker {
+  WorkerLife worker;
+  std::vector<ReleasedRun> lastSeen;
+  bool operator==(const RemoveWorker &) const = default;
+};
+
+struct ForgetJobs {
+  std::vector<std::string> jobs;
+  bool operator==(const ForgetJobs &) const = default;
+};
+
+struct StartWave {
+  Wave wave;
+  bool operator==(const StartWave &) const = default;
+};
+
+/// The machine's maintenance has begun, or the machine has left.
+struct MachineServed {
+  std::uint64_t wave = 0;
+  std::string machine;
+  bool operator==(const MachineServed &) const = default;
+};
+
+struct NameMember {
+  Member member;
+  bool operator==(const NameMember &) const = default;
+};
+
+using Command = std::variant<PutConfiguration, AcceptJob, CancelJob, OpenOccurrences, PlaceRuns,
+                             RecordEnds, ReleaseRuns, RegisterWorker, RemoveWorker, ForgetJobs,
+                             StartWave, MachineServed, NameMember>;
+
+/// Payload of one log entry.
+struct CommandBatch {
+  std::int64_t logTimeMs = 0; ///< The leader's wall clock, milliseconds since 1970.
+  std::vector<Command> commands;
+  bool operator==(const CommandBatch &) const = default;
+};
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -0,0 +1,85 @@
+// The leader's decisions about jobs: which runs to place where, which orders to give, and what the
+// answers prove. Pure: clock readings and answers in, actions out.
+#pragma once
+
+#include "banyanrill/base/RandomSource.h"
+#include "banyanrill/base/Time.h"
+#include "banyanrill/jobs/Api.h"
+#include "banyanrill/jobs/Orders.h"
+#include "banyanrill/jobs/Table.h"
+
+#include <memory>
+
+namespace banyanrill::jobs {
+
+struct DispatcherOptions {
+  std::uint64_t term = 0; ///< Fencing token of all orders.
+  /// Long enough for an election and the successor's first holds, short enough that the tasks of a
+  /// dead worker are placed again soon.
+  base::Duration lease = std::chrono::seconds(5);
+  /// A stopped or lapsed task may still run this long.
+  base::Duration stopGrace = std::chrono::milliseconds(400);
+  /// The other members of a gang must have started within this time.
+  base::Duration gangTimeout = std::chrono::milliseconds(3000);
+  /// How long ended jobs are remembered.
+  base::Duration keepEnded = std::chrono::seconds(150);
+};
+
+/// Counters since the leader's term began.
+struct DispatcherFigures {
+  std::uint64_t starts = 0;
+  std::uint64_t startsRejected = 0;
+  std::uint64_t startsUnanswered = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t holds = 0;
+  std::uint64_t holdsUnanswered = 0;
+  std::uint64_t adviceCalls = 0;
+  std::uint64_t adviceFailures = 0;
+  std::uint64_t runsReleased = 0;
+  std::uint64_t workersRemoved = 0;
+  std::size_t openSteps = 0;
+  std::size_t sessions = 0;
+};
+
+/// Lives for one term of leadership. Not thread-safe: owned by one task.
+class Dispatcher {
+public:
+  /// Precondition: `table` outlives the dispatcher and holds all that was committed before the
+  /// term.
+  Dispatcher(const Table &table, DispatcherOptions options, base::RandomSource random,
+             base::TimePoint now, std::int64_t wallClockMs);
+  ~Dispatcher();
+  Dispatcher(const Dispatcher &) = delete;
+  Dispatcher &operator=(const Dispatcher &) = delete;
+
+  /// After the table applied a batch.
+  void onApplied(const CommandBatch &batch, const Effect &effect, base::TimePoint now);
+
+  /// A report that changes nothing in the table; tells the worker's clock.
+  void onReport(const WorkerReport &report, base::TimePoint now);
+
+  /// The worker ends now; its tasks end with it.
+  void onLeaving(const std::string &worker, base::TimePoint now);
+
+  void onStartAnswer(OrderId order, const OrderAnswer &answer, base::TimePoint now);
+  void onStopAnswer(OrderId order, const OrderAnswer &answer, base::TimePoint now);
+  void onHoldAnswer(OrderId order, const HoldAnswer &answer, base::TimePoint now);
+  void onAdvice(OrderId order, const AdviceAnswer &answer, base::TimePoint now);
+
+  /// Daemons that can ask the advisory service, each one call at a time.
+  void setAdvisers(const std::vector<base::DaemonId> &daemons);
+
+  /// Everything to do now. Call after each group of the functions above, and every 50 ms.
+  std::vector<Action> takeActions(base::TimePoint now, std::int64_t wallClockMs);
+
+  /// Jobs that no task has started of, by queue.
+  std::uint64_t waitingIn(const std::string &queue) const;
+
+  DispatcherFigures figures() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/include/banyanrill/jobs/Orders.h
@@ -0,0 +1,113 @@
+// Orders that the leader gives to workers and to the advisory service, and their answers.
+#pragma once
+
+#include "banyanrill/base/Identifier.h"
+#include "banyanrill/jobs/Command.h"
+
+#include <variant>
+
+namespace banyanrill::jobs {
+
+/// Correlates an answer with its order. Never reused by one dispatcher.
+using OrderId = std::uint64_t;
+
+/// Which life of a worker an order is meant for, and under which authority.
+struct OrderTarget {
+  std::string worker;
+  std::string address; ///< host:port
+  std::uint64_t fence = 0;
+
+  bool operator==(const OrderTarget &) const = default;
+};
+
+struct StartOrder {
+  OrderId id = 0;
+  OrderTarget target;
+  RunKey run;
+  std::string taskSpec;
+  std::int64_t leaseUntilMs = 0; ///< On the worker's clock.
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct StopOrder {
+  OrderId id = 0;
+  OrderTarget target;
+  RunKey run;
+};
+
+/// Renews the lease of everything on a worker and asks what runs and what has ended there.
+struct HoldOrder {
+  OrderId id = 0;
+  OrderTarget target;
+  std::optional<std::int64_t> leaseUntilMs; ///< On the worker's clock.
+  std::uint64_t recordedEnds = 0;
+  std::int64_t waitMs = 0; ///< The answer waits this long for an end.
+};
+
+/// Limits the share of its processors that a running task may use.
+struct PaceOrder {
+  OrderId id = 0;
+  OrderTarget target;
+  RunKey run;
+  std::uint32_t percent = 100;
+};
+
+/// Asks, through one daemon, which of these workers may run a step.
+struct AdviceOrder {
+  OrderId id = 0;
+  base::DaemonId through = base::NoDaemon;
+  StepKey step;
+  std::vector<std::string> workers;
+  std::int64_t expectedMs = 0; ///< How long the service takes.
+};
+
+enum class OrderOutcome : std::uint8_t {
+  Accepted,
+  Fenced,       ///< The worker has seen a higher fencing token.
+  OldRun,       ///< This run or a later one has ended there.
+  LeaseTooLate, ///< The lease had passed on the worker's clock.
+  NoRoom,
+  TicketInvalid,
+  Unhealthy, ///< The worker did nothing.
+  Invalid,   ///< The worker did not understand the order.
+  OtherLife, ///< Another life of a worker answers at this address.
+  NotSent,   ///< Certain: nothing reached the worker.
+  NoAnswer,  ///< May be carried out, also later.
+};
+
+std::string_view nameOf(OrderOutcome outcome);
+
+/// Answer to a start, a stop or a pace order.
+struct OrderAnswer {
+  OrderOutcome outcome = OrderOutcome::NoAnswer;
+  std::optional<std::int64_t> clockMs; ///< The worker's steady clock.
+};
+
+struct RunningTask {
+  RunKey run;
+  std::string checkpoint;
+  std::uint32_t percent = 0;
+  std::int64_t load =
+      0; ///< Tail of response times in ms if the task serves, else millicores in use.
+};
+
+struct HoldAnswer {
+  OrderOutcome outcome = OrderOutcome::NoAnswer;
+  std::optional<std::int64_t> clockMs;
+  std::optional<std::int64_t> bornMs;
+  std::vector<RunningTask> running;
+  std::vector<TaskEnd> ended;
+};
+
+/// Workers that may run the step, each with the ticket that a start must carry.
+struct AdviceAnswer {
+  bool answered = false;
+  std::vector<std::pair<std::string, std::string>> good;
+
+  bool operator==(const AdviceAnswer &) const = default;
+};
+
+using Action = std::variant<StartOrder, StopOrder, HoldOrder, PaceOrder, AdviceOrder, Command>;
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/include/banyanrill/jobs/Table.h
@@ -0,0 +1,77 @@
+// The replicated table of jobs, workers and configuration: the same on every replica after the same
+// log entries.
+#pragma once
+
+#include "banyanrill/jobs/Command.h"
+
+#include <string>
+
+namespace banyanrill::jobs {
+
+/// Everything that a snapshot holds.
+struct TableState {
+  std::optional<Configuration> configuration;
+  std::map<std::string, Job> jobs;
+  std::map<std::string, Worker> workers;
+  std::map<std::uint64_t, Wave> waves;
+  std::map<std::uint32_t, Member> members;
+  std::int64_t lastTimeMs = 0; ///< Log time of the last entry; never decreases.
+
+  bool operator==(const TableState &) const = default;
+};
+
+/// What one command changed, for the dispatcher and the log.
+struct Effect {
+  std::set<std::string> changedJobs;
+  std::set<std::string> changedWorkers;
+  std::vector<PlacedRun> placed; ///< Orders to start may leave now.
+  std::vector<std::string> endedJobs;
+};
+
+/// Deterministic. Not thread-safe: owned by one task.
+class Table {
+public:
+  Table() = default;
+  explicit Table(TableState state) : content(std::move(state)) {}
+
+  const TableState &state() const { return this->content; }
+
+  /// Applies the commands of one log entry in order.
+  Effect apply(const CommandBatch &batch);
+
+  /// The queue that serves a path, with the rest of the path; null if no queue matches.
+  const Queue *findQueue(const std::string &host, const std::string &path, std::string &rest) const;
+
+  const Job *findJob(const std::string &id) const;
+  const Worker *findWorker(const std::string &id) const;
+
+  /// Whether all steps that this one waits for have succeeded.
+  static bool isReady(const Job &job, const Occurrence &occurrence, std::uint32_t step);
+
+private:
+  void applyOne(const PutConfiguration &command, Effect &effect);
+  void applyOne(const AcceptJob &command, Effect &effect);
+  void applyOne(const CancelJob &command, Effect &effect);
+  void applyOne(const OpenOccurrences &command, Effect &effect);
+  void applyOne(const PlaceRuns &command, Effect &effect);
+  void applyOne(const RecordEnds &command, Effect &effect);
+  void applyOne(const ReleaseRuns &command, Effect &effect);
+  void applyOne(const RegisterWorker &command, Effect &effect);
+  void applyOne(const RemoveWorker &command, Effect &effect);
+  void applyOne(const ForgetJobs &command, Effect &effect);
+  void applyOne(const StartWave &command, Effect &effect);
+  void applyOne(const MachineServed &command, Effect &effect);
+  void applyOne(const NameMember &command, Effect &effect);
+
+  void release(Worker &worker, const RunKey &run, const std::string &checkpoint, Effect &effect);
+  void releaseAll(Worker &worker, const std::vector<ReleasedRun> &lastSeen, Effect &effect);
+  void endRun(const TaskEnd &end, Effect &effect);
+  void succeed(Job &job, const RunKey &run);
+  void fail(Job &job, const RunKey &run, Effect &effect);
+  void finish(Job &job, JobPhase phase, Effect &effect);
+  void openUpTo(Job &job, std::uint32_t count);
+
+  TableState content;
+};
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/AdviceDesk.cpp
@@ -0,0 +1,95 @@
+#include "AdviceDesk.h"
+
+namespace banyanrill::jobs {
+
+namespace {
+
+/// A start must reach the worker before the ticket expires.
+constexpr base::Duration TicketMargin = std::chrono::milliseconds(150);
+
+/// Pause after an answer without success, so that a failing service is not pressed.
+constexpr base::Duration RetryPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+void AdviceDesk::setAdvisers(const std::vector<base::DaemonId> &daemons) {
+  const std::set<base::DaemonId> next(daemons.begin(), daemons.end());
+  for (const base::DaemonId daemon : next) {
+    if (this->advisers.count(daemon) == 0)
+      this->idle.insert(daemon);
+  }
+  for (const base::DaemonId daemon : this->advisers) {
+    if (next.count(daemon) == 0)
+      this->idle.erase(daemon);
+  }
+  this->advisers = next;
+}
+
+const Ticket *AdviceDesk::ticketFor(const StepKey &step, const std::string &worker,
+                                    base::TimePoint now) const {
+  const auto known = this->steps.find(step);
+  if (known == this->steps.end())
+    return nullptr;
+  const auto found = known->second.good.find(worker);
+  return found != known->second.good.end() && found->second.until > now ? &found->second : nullptr;
+}
+
+AdviceOrder AdviceDesk::ask(OrderId id, const OpenStep &step, std::vector<std::string> workers,
+                            base::TimePoint now) {
+  const AdvicePolicy &policy = *step.job->queue.advice;
+  AdviceOrder order;
+  order.id = id;
+  order.through = *this->idle.begin();
+  this->idle.erase(this->idle.begin());
+  order.step = step.key;
+  order.expectedMs = static_cast<std::int64_t>(
+      policy.baseMs + policy.perWorkerMs * static_cast<double>(workers.size()));
+  order.workers = workers;
+  this->steps[step.key].asking = true;
+  this->asked.emplace(id,
+                      Asked{step.key, order.through, std::move(workers), now, policy.ticketLifeMs});
+  return order;
+}
+
+std::optional<StepKey> AdviceDesk::onAnswer(OrderId id, const AdviceAnswer &answer,
+                                            base::TimePoint now) {
+  const auto found = this->asked.find(id);
+  if (found == this->asked.end())
+    return std::nullopt;
+  const Asked call = std::move(found->second);
+  this->asked.erase(found);
+  if (this->advisers.count(call.through) != 0)
+    this->idle.insert(call.through);
+  const auto known = this->steps.find(call.step);
+  if (known == this->steps.end())
+    return call.step;
+  StepAdvice &advice = known->second;
+  advice.asking = false;
+  if (!answer.answered) {
+    advice.askAgain = now + RetryPause;
+    return call.step;
+  }
+  for (const std::string &worker : call.workers)
+    advice.bad.insert(worker);
+  // The life of a ticket begins when the service answers; the answer's way back is in the margin.
+  const base::TimePoint until = now + std::chrono::milliseconds(call.ticketLifeMs) - TicketMargin;
+  for (const auto &[worker, ticket] : answer.good) {
+    advice.bad.erase(worker);
+    advice.good[worker] = {ticket, until};
+  }
+  return call.step;
+}
+
+void AdviceDesk::forgetWorker(const std::string &worker) {
+  for (auto &[step, advice] : this->steps) {
+    advice.good.erase(worker);
+    advice.bad.erase(worker);
+  }
+}
+
+void AdviceDesk::forgetJob(const std::string &job) {
+  this->steps.erase(this->steps.lower_bound({job, 0, 0}),
+                    this->steps.upper_bound({job, UINT32_MAX, UINT32_MAX}));
+}
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/AdviceDesk.h
@@ -0,0 +1,64 @@
+// Tickets of the advisory service: what is known of each step, and which calls to make next.
+#pragma once
+
+#include "StepQueue.h"
+#include "banyanrill/jobs/Orders.h"
+
+#include <functional>
+#include <set>
+#include <unordered_map>
+
+namespace banyanrill::jobs {
+
+struct Ticket {
+  std::string value;
+  base::TimePoint until; ///< Last time at which a start with it should leave.
+};
+
+/// What the service said of one step. Which workers are good never changes; tickets expire.
+struct StepAdvice {
+  std::map<std::string, Ticket> good;
+  std::set<std::string> bad;
+  bool asking = false;
+  base::TimePoint askAgain = base::TimePoint::min();
+};
+
+/// Each daemon has one call at a time: the service serves the calls of a machine in turn, so a
+/// second one would only wait. Not thread-safe.
+class AdviceDesk {
+public:
+  void setAdvisers(const std::vector<base::DaemonId> &daemons);
+
+  bool hasFreeAdviser() const { return !this->idle.empty(); }
+
+  StepAdvice &of(const StepKey &step) { return this->steps[step]; }
+  const Ticket *ticketFor(const StepKey &step, const std::string &worker,
+                          base::TimePoint now) const;
+
+  /// Precondition: `hasFreeAdviser()`.
+  AdviceOrder ask(OrderId id, const OpenStep &step, std::vector<std::string> workers,
+                  base::TimePoint now);
+
+  /// \returns the step, or nothing for an unknown order.
+  std::optional<StepKey> onAnswer(OrderId id, const AdviceAnswer &answer, base::TimePoint now);
+
+  /// A worker that left or began a new life: its tickets are void.
+  void forgetWorker(const std::string &worker);
+  void forgetJob(const std::string &job);
+
+private:
+  struct Asked {
+    StepKey step;
+    base::DaemonId through = base::NoDaemon;
+    std::vector<std::string> workers;
+    base::TimePoint at;
+    std::int64_t ticketLifeMs = 0;
+  };
+
+  std::set<base::DaemonId> advisers;
+  std::set<base::DaemonId> idle;
+  std::map<StepKey, StepAdvice> steps;
+  std::unordered_map<OrderId, Asked> asked;
+};
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -0,0 +1,255 @@
+#include "banyanrill/jobs/Dispatcher.h"
+
+#include "DispatcherState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanrill::jobs {
+
+namespace {
+
+/// How often workers without news are looked at for timeouts.
+constexpr base::Duration SweepInterval = std::chrono::milliseconds(100);
+
+/// Jobs forgotten in one command at most.
+constexpr std::size_t MaxForgotten = 64;
+
+} // namespace
+
+Dispatcher::State::State(const Table &jobTable, DispatcherOptions dispatcherOptions,
+                         base::RandomSource source, base::TimePoint start, std::int64_t wallClock)
+    : table(jobTable), options(dispatcherOptions), random(source), started(start), now(start),
+      wallClockMs(wallClock), queue(jobTable) {
+  for (const auto &[id, worker] : this->table.state().workers)
+    this->refreshWorker(id);
+  for (const auto &[id, job] : this->table.state().jobs)
+    this->refreshJob(id);
+}
+
+void Dispatcher::State::refreshJob(const std::string &id) {
+  this->queue.refresh(id, this->now, this->wallClockMs);
+  this->planWanted = true;
+  const Job *job = this->table.findJob(id);
+  const bool active = job != nullptr && job->phase == JobPhase::Active;
+  const bool isWaiting = active && !job->started && job->spec.repeatCount == 0;
+  const auto known = this->waitingJobs.find(id);
+  if (isWaiting && known == this->waitingJobs.end()) {
+    this->waitingJobs.emplace(id, job->queue.name);
+    ++this->waiting[job->queue.name];
+  } else if (!isWaiting && known != this->waitingJobs.end()) {
+    --this->waiting[known->second];
+    this->waitingJobs.erase(known);
+  }
+  if (active) {
+    if (job->spec.repeatCount > job->opened)
+      this->timedJobs.insert(id);
+    return;
+  }
+  this->timedJobs.erase(id);
+  this->desk.forgetJob(id);
+  if (job == nullptr)
+    this->ended.erase(id);
+  else
+    this->ended.emplace(id, job->endedMs);
+}
+
+void Dispatcher::State::openDueOccurrences() {
+  for (const std::string &id : this->timedJobs) {
+    const Job *job = this->table.findJob(id);
+    if (job == nullptr)
+      continue;
+    const std::int64_t since = this->wallClockMs - job->spec.firstStartMs;
+    if (since < 0)
+      continue;
+    const std::int64_t interval = std::max<std::int64_t>(job->spec.intervalMs, 1);
+    const auto due = static_cast<std::uint32_t>(
+        std::min<std::int64_t>(since / interval + 1, job->spec.repeatCount));
+    if (due > job->opened)
+      this->actions.emplace_back(Command(OpenOccurrences{id, due}));
+  }
+}
+
+void Dispatcher::State::forgetEndedJobs() {
+  const auto keepMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->options.keepEnded).count();
+  ForgetJobs command;
+  for (const auto &[id, endedMs] : this->ended) {
+    if (command.jobs.size() >= MaxForgotten)
+      break;
+    const Job *job = this->table.findJob(id);
+    if (job == nullptr || this->table.state().lastTimeMs < endedMs + keepMs)
+      continue;
+    const bool occupies =
+        std::any_of(job->occurrences.begin(), job->occurrences.end(), [](const auto &entry) {
+          return std::any_of(entry.second.steps.begin(), entry.second.steps.end(),
+                             [](const StepProgress &step) { return step.placements > 0; });
+        });
+    if (!occupies)
+      command.jobs.push_back(id);
+  }
+  if (!command.jobs.empty())
+    this->actions.emplace_back(Command(std::move(command)));
+}
+
+void Dispatcher::State::refreshWorker(const std::string &id) {
+  const Worker *worker = this->table.findWorker(id);
+  this->planWanted = true;
+  if (worker == nullptr) {
+    this->sessions.erase(id);
+    this->desk.forgetWorker(id);
+    return;
+  }
+  const auto [position, isNew] = this->sessions.try_emplace(id);
+  WorkerSession &session = position->second;
+  if (isNew || session.life != worker->profile.life) {
+    if (!isNew)
+      this->desk.forgetWorker(id);
+    session = WorkerSession();
+    session.life = worker->profile.life;
+    session.lastAnswer = this->now;
+    // An earlier leader may have renewed the lease until it noticed that it no longer leads.
+    constexpr base::Duration FormerLeaderTime = std::chrono::seconds(2);
+    session.leaseEndsBy =
+        leaseEnd(this->now + FormerLeaderTime, this->options.lease, this->options.stopGrace);
+  }
+  session.roomStale = true;
+  this->dirtyWorkers.insert(id);
+}
+
+Dispatcher::Dispatcher(const Table &table, DispatcherOptions options, base::RandomSource random,
+                       base::TimePoint now, std::int64_t wallClockMs)
+    : state(std::make_unique<State>(table, options, random, now, wallClockMs)) {}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::onApplied(const CommandBatch &batch, const Effect &effect, base::TimePoint now) {
+  State &dispatcher = *this->state;
+  dispatcher.now = now;
+  for (const Command &command : batch.commands) {
+    if (const auto *ends = std::get_if<RecordEnds>(&command)) {
+      const auto session = dispatcher.sessions.find(ends->worker.id);
+      if (session == dispatcher.sessions.end() || session->second.life != ends->worker)
+        continue;
+      session->second.endsProposed = false;
+      session->second.nextHold = std::max(session->second.nextHold, now);
+      for (const TaskEnd &end : ends->ends) {
+        session->second.noteEnd(end, now);
+        session->second.runs.erase(end.run.task);
+      }
+    }
+  }
+  for (const std::string &worker : effect.changedWorkers)
+    dispatcher.refreshWorker(worker);
+  for (const PlacedRun &placed : effect.placed) {
+    const auto pending = dispatcher.pending.find(placed.run.task);
+    const auto session = dispatcher.sessions.find(placed.worker);
+    if (session == dispatcher.sessions.end())
+      continue;
+    RunView view;
+    view.placedAt = now;
+    if (pending != dispatcher.pending.end() && pending->second.run == placed.run.run) {
+      view.ticket = pending->second.ticket;
+      view.ticketUntil = pending->second.ticketUntil;
+    }
+    session->second.runs[placed.run.task] = std::move(view);
+  }
+  for (const Command &command : batch.commands) {
+    const auto *places = std::get_if<PlaceRuns>(&command);
+    if (places == nullptr || places->term != dispatcher.options.term)
+      continue;
+    for (const PlacedRun &placed : places->runs) {
+      dispatcher.pending.erase(placed.run.task);
+      if (const auto session = dispatcher.sessions.find(placed.worker);
+          session != dispatcher.sessions.end())
+        session->second.roomStale = true;
+    }
+  }
+  for (const std::string &job : effect.changedJobs)
+    dispatcher.refreshJob(job);
+  // A job that ended takes its running tasks with it, on all their workers.
+  for (const std::string &id : effect.endedJobs) {
+    const Job *job = dispatcher.table.findJob(id);
+    if (job == nullptr)
+      continue;
+    for (const auto &[number, occurrence] : job->occurrences) {
+      for (const StepProgress &step : occurrence.steps) {
+        for (const Task &task : step.tasks) {
+          if (!task.worker.empty())
+            dispatcher.dirtyWorkers.insert(task.worker);
+        }
+      }
+    }
+  }
+}
+
+void Dispatcher::onReport(const WorkerReport &report, base::TimePoint now) {
+  const auto found = this->state->sessions.find(report.profile.life.id);
+  if (found == this->state->sessions.end() || found->second.life != report.profile.life)
+    return;
+  found->second.readClock(report.clockMs, now);
+  this->state->dirtyWorkers.insert(report.profile.life.id);
+}
+
+void Dispatcher::onLeaving(const std::string &worker, base::TimePoint now) {
+  this->state->now = now;
+  const auto found = this->state->sessions.find(worker);
+  if (found == this->state->sessions.end())
+    return;
+  found->second.leaving = true;
+  this->state->dirtyWorkers.insert(worker);
+}
+
+void Dispatcher::setAdvisers(const std::vector<base::DaemonId> &daemons) {
+  this->state->desk.setAdvisers(daemons);
+  this->state->planWanted = true;
+}
+
+void Dispatcher::onAdvice(OrderId order, const AdviceAnswer &answer, base::TimePoint now) {
+  this->state->now = now;
+  if (!answer.answered)
+    ++this->state->figures.adviceFailures;
+  if (this->state->desk.onAnswer(order, answer, now))
+    this->state->planWanted = true;
+}
+
+std::vector<Action> Dispatcher::takeActions(base::TimePoint now, std::int64_t wallClockMs) {
+  State &dispatcher = *this->state;
+  dispatcher.now = now;
+  dispatcher.wallClockMs = wallClockMs;
+  const bool sweep = now >= dispatcher.nextSweep;
+  if (sweep) {
+    dispatcher.nextSweep = now + SweepInterval;
+    dispatcher.openDueOccurrences();
+    dispatcher.forgetEndedJobs();
+    dispatcher.planWanted = true;
+    for (const auto &[id, session] : dispatcher.sessions)
+      dispatcher.dirtyWorkers.insert(id);
+  }
+  const std::set<std::string> dirty = std::exchange(dispatcher.dirtyWorkers, {});
+  for (const std::string &id : dirty) {
+    const Worker *worker = dispatcher.table.findWorker(id);
+    const auto session = dispatcher.sessions.find(id);
+    if (worker != nullptr && session != dispatcher.sessions.end())
+      dispatcher.serveWorker(*worker, session->second);
+  }
+  if (!dispatcher.releases.empty())
+    dispatcher.actions.emplace_back(Command(ReleaseRuns{std::exchange(dispatcher.releases, {})}));
+  if (std::exchange(dispatcher.planWanted, false))
+    dispatcher.plan();
+  return std::exchange(dispatcher.actions, {});
+}
+
+std::uint64_t Dispatcher::waitingIn(const std::string &queue) const {
+  const auto found = this->state->waiting.find(queue);
+  return found == this->state->waiting.end() ? 0 : found->second;
+}
+
+DispatcherFigures Dispatcher::figures() const {
+  DispatcherFigures figures = this->state->figures;
+  figures.openSteps = this->state->queue.open().size();
+  figures.sessions = this->state->sessions.size();
+  return figures;
+}
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/DispatcherState.h
@@ -0,0 +1,99 @@
+// State of the dispatcher, shared by its parts: orders to workers (WorkerOrders.cpp) and placement
+// (Placing.cpp).
+#pragma once
+
+#include "AdviceDesk.h"
+#include "StepQueue.h"
+#include "WorkerSession.h"
+#include "banyanrill/jobs/Dispatcher.h"
+
+#include <unordered_map>
+
+namespace banyanrill::jobs {
+
+/// A run that is proposed to the log but not yet in the table.
+struct PendingRun {
+  std::string worker;
+  std::uint32_t run = 0;
+  std::string ticket;
+  base::TimePoint ticketUntil = base::TimePoint::max();
+};
+
+/// Which run an order was about.
+struct OrderSubject {
+  WorkerLife worker;
+  RunKey run;
+};
+
+struct Dispatcher::State {
+  State(const Table &jobTable, DispatcherOptions dispatcherOptions, base::RandomSource source,
+        base::TimePoint start, std::int64_t wallClock);
+
+  const Table &table;
+  DispatcherOptions options;
+  base::RandomSource random;
+  base::TimePoint started;
+  base::TimePoint now;
+  std::int64_t wallClockMs = 0;
+
+  std::map<std::string, WorkerSession> sessions;
+  std::set<std::string> dirtyWorkers;
+  base::TimePoint nextSweep = base::TimePoint::min();
+  StepQueue queue;
+  AdviceDesk desk;
+  std::map<TaskKey, PendingRun> pending;
+  std::unordered_map<OrderId, OrderSubject> orders;
+  OrderId lastOrder = 0;
+  bool planWanted = true;
+  std::map<std::string, std::uint64_t> waiting;   ///< Jobs not started, by queue.
+  std::map<std::string, std::string> waitingJobs; ///< Job to its queue.
+  std::map<std::string, std::int64_t> ended;      ///< Jobs to forget, with the time of their end.
+  std::set<std::string> timedJobs;                ///< Jobs with occurrences still to come.
+  std::vector<Action> actions;
+  std::vector<ReleasedRun> releases;
+  DispatcherFigures figures;
+
+  // Jobs.
+  void refreshJob(const std::string &id);
+  void openDueOccurrences();
+  void forgetEndedJobs();
+
+  // Workers.
+  void refreshWorker(const std::string &id);
+  void serveWorker(const Worker &worker, WorkerSession &session);
+  void serveRuns(const Worker &worker, WorkerSession &session);
+  void serveRun(const Worker &worker, WorkerSession &session, const TaskKey &task,
+                const Placement &placement);
+  bool mayStart(const RunKey &run) const;
+  bool gangIsBroken(const RunKey &run) const;
+  void sendStart(const Worker &worker, WorkerSession &session, const RunKey &run, RunView &view);
+  void sendStop(const Worker &worker, WorkerSession &session, const RunKey &run);
+  void sendHold(const Worker &worker, WorkerSession &session);
+  void release(WorkerSession &session, const RunKey &run, RunView &view);
+  void removeWorker(const Worker &worker, WorkerSession &session);
+  OrderTarget targetOf(const Worker &worker) const;
+  /// Worker and session of an answered order if both are still of the life it was meant for.
+  std::pair<const Worker *, WorkerSession *> find(const WorkerLife &life);
+  std::optional<OrderSubject> takeOrder(OrderId id);
+  void judgeRuns(const Worker &worker, WorkerSession &session, const HoldAnswer &answer);
+
+  // Placement.
+  void plan();
+  void place(const OpenStep &open, PlaceRuns &command);
+  void placeGang(const OpenStep &open, PlaceRuns &command);
+  std::vector<std::uint32_t> waitingTasks(const OpenStep &open) const;
+  const Worker *chooseWorker(const OpenStep &open, const Task &task,
+                             std::map<std::string, std::uint32_t> &perWorker);
+  void assign(const OpenStep &open, std::uint32_t index, std::uint32_t run, const Worker &worker,
+              PlaceRuns &command);
+  void considerAdvice(const OpenStep &open);
+  bool isEligible(const OpenStep &open, const Worker &worker, const WorkerSession &session) const;
+  std::uint32_t slotsIn(const OpenStep &open, const Worker &worker, WorkerSession &session);
+  base::Resources freeRoom(const Worker &worker, WorkerSession &session);
+  std::map<std::string, std::uint32_t> tasksPerWorker(const OpenStep &open) const;
+};
+
+/// What a run takes from its worker; fillers take no processors.
+base::Resources demandOf(const Step &step);
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/Placing.cpp
@@ -0,0 +1,277 @@
+// Which waiting task goes to which worker, and which workers to ask the advisory service about.
+#include "DispatcherState.h"
+
+#include <algorithm>
+
+namespace banyanrill::jobs {
+
+namespace {
+
+/// Runs proposed in one command at most, to keep log entries small.
+constexpr std::size_t MaxRunsPerCommand = 256;
+
+/// Workers named in one advisory call at most; the service takes 100.
+constexpr std::size_t MaxAdvised = 64;
+
+/// A call names this many times the workers that the step needs, since many are refused.
+constexpr std::size_t AdviceSurplus = 4;
+
+/// Fewer names save little: most of a call's time does not depend on them.
+constexpr std::size_t MinAdvised = 16;
+
+/// Starts of runs that wait for a free channel, for each worker.
+constexpr std::uint32_t MaxOrdersWaiting = 12;
+
+bool hasLabel(const WorkerProfile &profile, const std::string &label) {
+  return std::find(profile.labels.begin(), profile.labels.end(), label) != profile.labels.end();
+}
+
+std::uint32_t slotsFor(const base::Resources &room, const base::Resources &demand) {
+  std::int64_t slots = INT32_MAX;
+  if (demand.millicores > 0)
+    slots = std::min(slots, room.millicores / demand.millicores);
+  if (demand.memoryMib > 0)
+    slots = std::min(slots, room.memoryMib / demand.memoryMib);
+  if (demand.accelerators > 0)
+    slots = std::min(slots, room.accelerators / demand.accelerators);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(slots, 0));
+}
+
+} // namespace
+
+base::Resources demandOf(const Step &step) {
+  base::Resources demand = step.demand;
+  if (step.fillsIdle)
+    demand.millicores = 0;
+  return demand;
+}
+
+base::Resources Dispatcher::State::freeRoom(const Worker &worker, WorkerSession &session) {
+  if (session.roomStale) {
+    session.used = {};
+    session.fillers = 0;
+    session.serving = 0;
+    for (const auto &[task, placement] : worker.placements) {
+      const Job *job = this->table.findJob(task.job);
+      if (job == nullptr)
+        continue;
+      const Step &step = job->spec.steps[task.step];
+      session.used = session.used + demandOf(step);
+      session.fillers += step.fillsIdle ? 1 : 0;
+      session.serving += step.responseTargetMs > 0 ? 1 : 0;
+    }
+    for (const auto &[task, run] : this->pending) {
+      if (run.worker != worker.profile.life.id || worker.placements.count(task) != 0)
+        continue;
+      const Job *job = this->table.findJob(task.job);
+      if (job != nullptr)
+        session.used = session.used + demandOf(job->spec.steps[task.step]);
+    }
+    session.roomStale = false;
+  }
+  return worker.profile.capacity - session.used;
+}
+
+bool Dispatcher::State::isEligible(const OpenStep &open, const Worker &worker,
+                                   const WorkerSession &session) const {
+  const Step &step = *open.step;
+  if (worker.profile.service != open.job->queue.service || worker.profile.draining ||
+      session.leaving || !session.contacted || session.holdLost || !session.clock)
+    return false;
+  if (!step.requiredLabel.empty() && !hasLabel(worker.profile, step.requiredLabel))
+    return false;
+  // Work that fills idle processors disturbs tasks with a response target.
+  if ((step.fillsIdle && session.serving > 0) || (step.responseTargetMs > 0 && session.fillers > 0))
+    return false;
+  return !session.isAvoided(this->now) && session.callsInFlight < MaxOrdersWaiting;
+}
+
+std::map<std::string, std::uint32_t> Dispatcher::State::tasksPerWorker(const OpenStep &open) const {
+  std::map<std::string, std::uint32_t> counts;
+  if (open.step->maxPerWorker == 0)
+    return counts;
+  for (std::uint32_t index = 0; index < open.progress->tasks.size(); ++index) {
+    const Task &task = open.progress->tasks[index];
+    if (task.phase == TaskPhase::Placed)
+      ++counts[task.worker];
+    const auto pendingRun =
+        this->pending.find({open.key.job, open.key.occurrence, open.key.step, index});
+    if (pendingRun != this->pending.end() && task.phase == TaskPhase::Waiting)
+      ++counts[pendingRun->second.worker];
+  }
+  return counts;
+}
+
+std::vector<std::uint32_t> Dispatcher::State::waitingTasks(const OpenStep &open) const {
+  std::vector<std::uint32_t> waitingIndices;
+  for (std::uint32_t index = 0; index < open.progress->tasks.size(); ++index) {
+    if (open.progress->tasks[index].phase != TaskPhase::Waiting)
+      continue;
+    if (this->pending.count({open.key.job, open.key.occurrence, open.key.step, index}) == 0)
+      waitingIndices.push_back(index);
+  }
+  return waitingIndices;
+}
+
+const Worker *Dispatcher::State::chooseWorker(const OpenStep &open, const Task &task,
+                                              std::map<std::string, std::uint32_t> &perWorker) {
+  const base::Resources demand = demandOf(*open.step);
+  const Worker *best = nullptr;
+  double bestScore = 0;
+  for (auto &[id, session] : this->sessions) {
+    const Worker *worker = this->table.findWorker(id);
+    if (worker == nullptr || !this->isEligible(open, *worker, session))
+      continue;
+    if (open.job->queue.advice && this->desk.ticketFor(open.key, id, this->now) == nullptr)
+      continue;
+    if (open.step->maxPerWorker > 0 && perWorker[id] >= open.step->maxPerWorker)
+      continue;
+    const base::Resources room = this->freeRoom(*worker, session);
+    if (!demand.fitsIn(room))
+      continue;
+    // The fullest worker that has room, so that large tasks find room elsewhere.
+    const auto left = static_cast<double>(room.millicores - demand.millicores);
+    double score = 1.0 - left / static_cast<double>(
+                                    std::max<std::int64_t>(worker->profile.capacity.millicores, 1));
+    if (!open.step->dataRack.empty() && worker->profile.rack == open.step->dataRack)
+      score += 2;
+    // A task that failed there may have failed because of the worker.
+    if (task.failures > 0 && task.worker == id)
+      score -= 4;
+    if (best == nullptr || score > bestScore) {
+      best = worker;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+void Dispatcher::State::assign(const OpenStep &open, std::uint32_t index, std::uint32_t run,
+                               const Worker &worker, PlaceRuns &command) {
+  const TaskKey key{open.key.job, open.key.occurrence, open.key.step, index};
+  const std::string &id = worker.profile.life.id;
+  PendingRun &pendingRun = this->pending[key];
+  pendingRun.worker = id;
+  pendingRun.run = run;
+  if (const Ticket *ticket = this->desk.ticketFor(open.key, id, this->now)) {
+    pendingRun.ticket = ticket->value;
+    pendingRun.ticketUntil = ticket->until;
+  }
+  WorkerSession &session = this->sessions.at(id);
+  session.used = session.used + demandOf(*open.step);
+  session.fillers += open.step->fillsIdle ? 1 : 0;
+  session.serving += open.step->responseTargetMs > 0 ? 1 : 0;
+  command.runs.push_back({{key, run}, id});
+}
+
+void Dispatcher::State::place(const OpenStep &open, PlaceRuns &command) {
+  std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
+  for (const std::uint32_t index : this->waitingTasks(open)) {
+    if (command.runs.size() >= MaxRunsPerCommand)
+      return;
+    const Task &task = open.progress->tasks[index];
+    const Worker *worker = this->chooseWorker(open, task, perWorker);
+    if (worker == nullptr)
+      return; // All tasks of a step are alike, so the others do not fit either.
+    ++perWorker[worker->profile.life.id];
+    this->assign(open, index, task.lastRun + 1, *worker, command);
+  }
+}
+
+void Dispatcher::State::placeGang(const OpenStep &open, PlaceRuns &command) {
+  const std::vector<std::uint32_t> members = this->waitingTasks(open);
+  if (members.size() != open.progress->tasks.size())
+    return;
+  std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
+  std::uint32_t run = 0;
+  for (const Task &task : open.progress->tasks)
+    run = std::max(run, task.lastRun + 1);
+  const std::size_t before = command.runs.size();
+  for (const std::uint32_t index : members) {
+    const Worker *worker = this->chooseWorker(open, open.progress->tasks[index], perWorker);
+    if (worker == nullptr)
+      break;
+    ++perWorker[worker->profile.life.id];
+    this->assign(open, index, run, *worker, command);
+  }
+  if (command.runs.size() - before == members.size())
+    return;
+  // Not all members fit: take the others back.
+  while (command.runs.size() > before) {
+    const PlacedRun &placed = command.runs.back();
+    this->sessions.at(placed.worker).roomStale = true;
+    this->pending.erase(placed.run.task);
+    command.runs.pop_back();
+  }
+}
+
+std::uint32_t Dispatcher::State::slotsIn(const OpenStep &open, const Worker &worker,
+                                         WorkerSession &session) {
+  std::uint32_t slots = slotsFor(this->freeRoom(worker, session), demandOf(*open.step));
+  if (open.step->maxPerWorker > 0)
+    slots = std::min(slots, open.step->maxPerWorker);
+  return slots;
+}
+
+void Dispatcher::State::considerAdvice(const OpenStep &open) {
+  StepAdvice &advice = this->desk.of(open.key);
+  const auto needed = static_cast<std::uint32_t>(this->waitingTasks(open).size());
+  if (advice.asking || this->now < advice.askAgain || needed == 0)
+    return;
+  struct Candidate {
+    std::string worker;
+    std::uint32_t slots;
+    bool known;
+  };
+  std::vector<Candidate> candidates;
+  std::uint32_t total = 0;
+  for (auto &[id, session] : this->sessions) {
+    const Worker *worker = this->table.findWorker(id);
+    if (worker == nullptr || advice.bad.count(id) != 0 || !this->isEligible(open, *worker, session))
+      continue;
+    const std::uint32_t slots = std::min(needed, this->slotsIn(open, *worker, session));
+    if (slots == 0)
+      continue;
+    candidates.push_back({id, slots, advice.good.count(id) != 0});
+    total += slots;
+  }
+  if (candidates.empty() || (open.step->gang && total < needed))
+    return;
+  std::sort(
+      candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        if (left.known != right.known)
+          return left.known;
+        return left.slots != right.slots ? left.slots > right.slots : left.worker < right.worker;
+      });
+  std::vector<std::string> workers;
+  std::size_t named = 0;
+  std::size_t surely = 0;
+  for (const Candidate &candidate : candidates) {
+    if (workers.size() >= MaxAdvised || surely >= needed ||
+        (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
+      break;
+    workers.push_back(candidate.worker);
+    named += candidate.slots;
+    surely += candidate.known ? candidate.slots : 0;
+  }
+  ++this->figures.adviceCalls;
+  this->actions.emplace_back(
+      this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
+}
+
+void Dispatcher::State::plan() {
+  PlaceRuns command;
+  command.term = this->options.term;
+  for (const OpenStep &open : this->queue.ordered(this->now)) {
+    if (open.step->gang)
+      this->placeGang(open, command);
+    else
+      this->place(open, command);
+    if (open.job->queue.advice && this->desk.hasFreeAdviser())
+      this->considerAdvice(open);
+  }
+  if (!command.runs.empty())
+    this->actions.emplace_back(Command(std::move(command)));
+}
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -0,0 +1,384 @@
+// Orders to workers, and what their answers prove about the runs there.
+#include "DispatcherState.h"
+
+#include <algorithm>
+
+namespace banyanrill::jobs {
+
+namespace {
+
+/// The answer to a hold waits this long for an end; it also bounds the age of what is known.
+constexpr base::Duration HoldWait = std::chrono::milliseconds(1000);
+
+/// Pause between two holds of a worker, so that ends that come together are read together.
+constexpr base::Duration HoldPause = std::chrono::milliseconds(30);
+
+/// Pause after a hold or an order without an answer.
+constexpr base::Duration RetryPause = std::chrono::milliseconds(150);
+
+/// Orders to one worker at the same time; a worker has 64 channels for all daemons.
+constexpr std::uint32_t MaxCallsPerWorker = 12;
+
+/// Starts of one run before it is stopped instead.
+constexpr std::uint32_t MaxStarts = 3;
+
+/// Longest list of ends in one answer; a full one may leave ends out.
+constexpr std::size_t FullEndList = 500;
+
+/// A worker without tasks that is silent for this long has gone.
+constexpr base::Duration IdleSilence = std::chrono::seconds(6);
+
+} // namespace
+
+OrderTarget Dispatcher::State::targetOf(const Worker &worker) const {
+  return {worker.profile.life.id, worker.profile.address, this->options.term};
+}
+
+std::pair<const Worker *, WorkerSession *> Dispatcher::State::find(const WorkerLife &life) {
+  const Worker *worker = this->table.findWorker(life.id);
+  const auto session = this->sessions.find(life.id);
+  if (worker == nullptr || session == this->sessions.end() || session->second.life != life ||
+      worker->profile.life != life)
+    return {nullptr, nullptr};
+  return {worker, &session->second};
+}
+
+std::optional<OrderSubject> Dispatcher::State::takeOrder(OrderId id) {
+  const auto found = this->orders.find(id);
+  if (found == this->orders.end())
+    return std::nullopt;
+  OrderSubject subject = std::move(found->second);
+  this->orders.erase(found);
+  return subject;
+}
+
+void Dispatcher::State::release(WorkerSession &session, const RunKey &run, RunView &view) {
+  if (view.releaseProposed)
+    return;
+  view.releaseProposed = true;
+  ++this->figures.runsReleased;
+  this->releases.push_back({run, session.life.id, view.checkpoint});
+  this->dirtyWorkers.insert(session.life.id);
+}
+
+void Dispatcher::State::removeWorker(const Worker &worker, WorkerSession &session) {
+  RemoveWorker command{worker.profile.life, {}};
+  for (const auto &[task, placement] : worker.placements) {
+    const auto view = session.runs.find(task);
+    if (view != session.runs.end() && !view->second.checkpoint.empty())
+      command.lastSeen.push_back(
+          {{task, placement.run}, worker.profile.life.id, view->second.checkpoint});
+  }
+  ++this->figures.workersRemoved;
+  session.lastAnswer = this->now; // Proposed once, and again only after a long time.
+  session.leaseEndsBy = std::max(session.leaseEndsBy, this->now + IdleSilence);
+  this->actions.emplace_back(Command(std::move(command)));
+}
+
+void Dispatcher::State::sendHold(const Worker &worker, WorkerSession &session) {
+  HoldOrder order;
+  order.id = ++this->lastOrder;
+  order.target = this->targetOf(worker);
+  order.recordedEnds = worker.recordedEnds;
+  order.leaseUntilMs = session.grant(this->options.lease, this->options.stopGrace, this->now);
+  if (session.contacted)
+    order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(HoldWait).count();
+  this->orders.emplace(order.id, OrderSubject{session.life, {}});
+  session.holdInFlight = true;
+  session.holdSent = this->now;
+  ++this->figures.holds;
+  this->actions.emplace_back(std::move(order));
+}
+
+void Dispatcher::State::sendStart(const Worker &worker, WorkerSession &session, const RunKey &run,
+                                  RunView &view) {
+  const std::optional<std::int64_t> lease =
+      session.grant(this->options.lease, this->options.stopGrace, this->now);
+  const Job *job = this->table.findJob(run.task.job);
+  if (!lease || job == nullptr)
+    return;
+  StartOrder order;
+  order.id = ++this->lastOrder;
+  order.target = this->targetOf(worker);
+  order.run = run;
+  order.taskSpec = job->spec.taskSpec;
+  order.leaseUntilMs = *lease;
+  order.ticket = view.ticket;
+  order.checkpoint = job->occurrences.at(run.task.occurrence)
+                         .steps[run.task.step]
+                         .tasks[run.task.index]
+                         .checkpoint;
+  view.startInFlight = true;
+  ++view.startsSent;
+  ++session.callsInFlight;
+  ++this->figures.starts;
+  this->orders.emplace(order.id, OrderSubject{session.life, run});
+  this->actions.emplace_back(std::move(order));
+}
+
+void Dispatcher::State::sendStop(const Worker &worker, WorkerSession &session, const RunKey &run) {
+  StopOrder order;
+  order.id = ++this->lastOrder;
+  order.target = this->targetOf(worker);
+  order.run = run;
+  ++session.callsInFlight;
+  ++this->figures.stops;
+  this->orders.emplace(order.id, OrderSubject{session.life, run});
+  this->actions.emplace_back(std::move(order));
+}
+
+bool Dispatcher::State::mayStart(const RunKey &run) const {
+  const Job *job = this->table.findJob(run.task.job);
+  if (job == nullptr || job->phase != JobPhase::Active)
+    return false;
+  const Task &task =
+      job->occurrences.at(run.task.occurrence).steps[run.task.step].tasks[run.task.index];
+  return task.phase == TaskPhase::Placed && task.lastRun == run.run;
+}
+
+bool Dispatcher::State::gangIsBroken(const RunKey &run) const {
+  const Job *job = this->table.findJob(run.task.job);
+  if (job == nullptr || !job->spec.steps[run.task.step].gang)
+    return false;
+  const StepProgress &step = job->occurrences.at(run.task.occurrence).steps[run.task.step];
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [&run](const Task &member) {
+    return member.phase == TaskPhase::Waiting && member.lastRun == run.run;
+  });
+}
+
+void Dispatcher::State::serveWorker(const Worker &worker, WorkerSession &session) {
+  const bool silent = session.holdLost || !session.contacted;
+  if (silent && this->now >= session.leaseEndsBy) {
+    this->removeWorker(worker, session);
+    return;
+  }
+  if (silent && worker.placements.empty() && this->now - session.lastAnswer > IdleSilence) {
+    this->removeWorker(worker, session);
+    return;
+  }
+  this->serveRuns(worker, session);
+  if (!session.holdInFlight && !session.endsProposed && this->now >= session.nextHold)
+    this->sendHold(worker, session);
+}
+
+void Dispatcher::State::serveRuns(const Worker &worker, WorkerSession &session) {
+  if (!session.contacted)
+    return;
+  for (const auto &[task, placement] : worker.placements)
+    this->serveRun(worker, session, task, placement);
+}
+
+void Dispatcher::State::serveRun(const Worker &worker, WorkerSession &session, const TaskKey &task,
+                                 const Placement &placement) {
+  const auto [position, isNew] = session.runs.try_emplace(task);
+  RunView &view = position->second;
+  if (isNew)
+    view.inherited = true;
+  const RunKey run{task, placement.run};
+  if (view.releaseProposed)
+    return;
+  const Job *job = this->table.findJob(task.job);
+  const bool abandoned =
+      job == nullptr || job->phase == JobPhase::Cancelled || job->phase == JobPhase::Failed;
+  if (placement.formerLife || abandoned || (!view.startAnswered && !this->mayStart(run)) ||
+      this->gangIsBroken(run))
+    view.stopWanted = true;
+  if (view.startInFlight || view.stopInFlight || this->now < view.nextTry ||
+      session.callsInFlight >= MaxCallsPerWorker)
+    return;
+  if (view.stopWanted) {
+    if (!view.inherited && view.startsSent == 0) {
+      this->release(session, run, view);
+    } else if (!view.stopAnswered) {
+      view.stopInFlight = true;
+      this->sendStop(worker, session, run);
+    }
+    return;
+  }
+  if (view.inherited || view.startAnswered)
+    return;
+  if (view.startsSent >= MaxStarts || this->now >= view.ticketUntil) {
+    view.stopWanted = true;
+    this->dirtyWorkers.insert(session.life.id);
+    return;
+  }
+  this->sendStart(worker, session, run, view);
+}
+
+void Dispatcher::onStartAnswer(OrderId order, const OrderAnswer &answer, base::TimePoint now) {
+  State &dispatcher = *this->state;
+  dispatcher.now = now;
+  const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
+  if (!subject)
+    return;
+  const auto [worker, session] = dispatcher.find(subject->worker);
+  if (session == nullptr)
+    return;
+  --session->callsInFlight;
+  session->readClock(answer.clockMs, now);
+  dispatcher.dirtyWorkers.insert(session->life.id);
+  const auto found = session->runs.find(subject->run.task);
+  const auto placement = worker->placements.find(subject->run.task);
+  if (found == session->runs.end() || placement == worker->placements.end() ||
+      placement->second.run != subject->run.run)
+    return;
+  RunView &view = found->second;
+  view.startInFlight = false;
+  switch (answer.outcome) {
+  case OrderOutcome::Accepted:
+  case OrderOutcome::OldRun:
+    view.startAnswered = true;
+    view.settledAt = now;
+    return;
+  case OrderOutcome::NotSent:
+    --view.startsSent;
+    view.nextTry = now + RetryPause;
+    // Nothing was sent, so another worker may have the task at once.
+    if (view.startsSent == 0)
+      dispatcher.release(*session, subject->run, view);
+    return;
+  case OrderOutcome::NoAnswer:
+    ++dispatcher.figures.startsUnanswered;
+    return;
+  case OrderOutcome::Fenced:
+    return; // A later leader has taken the worker over.
+  case OrderOutcome::OtherLife:
+    dispatcher.removeWorker(*worker, *session);
+    return;
+  case OrderOutcome::LeaseTooLate:
+  case OrderOutcome::NoRoom:
+  case OrderOutcome::TicketInvalid:
+  case OrderOutcome::Unhealthy:
+  case OrderOutcome::Invalid:
+    ++dispatcher.figures.startsRejected;
+    // An earlier copy of the order may still be carried out.
+    if (view.startsSent == 1)
+      dispatcher.release(*session, subject->run, view);
+    else
+      view.stopWanted = true;
+    return;
+  }
+}
+
+void Dispatcher::onStopAnswer(OrderId order, const OrderAnswer &answer, base::TimePoint now) {
+  State &dispatcher = *this->state;
+  dispatcher.now = now;
+  const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
+  if (!subject)
+    return;
+  const auto [worker, session] = dispatcher.find(subject->worker);
+  if (session == nullptr)
+    return;
+  --session->callsInFlight;
+  session->readClock(answer.clockMs, now);
+  dispatcher.dirtyWorkers.insert(session->life.id);
+  const auto found = session->runs.find(subject->run.task);
+  if (found == session->runs.end())
+    return;
+  RunView &view = found->second;
+  view.stopInFlight = false;
+  if (answer.outcome == OrderOutcome::OtherLife) {
+    dispatcher.removeWorker(*worker, *session);
+  } else if (answer.outcome == OrderOutcome::Accepted) {
+    view.stopAnswered = true;
+    view.settledAt = now;
+    session->nextHold = std::min(session->nextHold, now);
+  } else {
+    view.nextTry = now + RetryPause;
+  }
+}
+
+void Dispatcher::State::judgeRuns(const Worker &worker, WorkerSession &session,
+                                  const HoldAnswer &answer) {
+  std::map<RunKey, const RunningTask *> running;
+  for (const RunningTask &task : answer.running)
+    running.emplace(task.run, &task);
+  std::set<RunKey> ended;
+  for (const TaskEnd &end : answer.ended)
+    ended.insert(end.run);
+  for (const auto &[task, placement] : worker.placements) {
+    const auto [position, isNew] = session.runs.try_emplace(task);
+    RunView &view = position->second;
+    if (isNew)
+      view.inherited = true;
+    const RunKey run{task, placement.run};
+    if (const auto found = running.find(run); found != running.end()) {
+      const RunningTask &seen = *found->second;
+      if (!view.startAnswered) {
+        view.startAnswered = true;
+        view.settledAt = this->now;
+      }
+      if (seen.percent != view.percent)
+        view.progressAt = this->now;
+      view.percent = seen.percent;
+      view.load = seen.load;
+      if (!seen.checkpoint.empty())
+        view.checkpoint = seen.checkpoint;
+      running.erase(found);
+      continue;
+    }
+    if (ended.count(run) != 0 || answer.ended.size() >= FullEndList)
+      continue;
+    // The worker has seen this leader's fence, so an earlier leader's order has no effect any more.
+    const bool barred = placement.term < this->options.term && !placement.formerLife;
+    const bool settled =
+        (view.startAnswered || view.stopAnswered) && session.holdSent > view.settledAt;
+    if (barred || settled)
+      this->release(session, run, view);
+  }
+  for (const auto &[run, seen] : running) {
+    // Not placed here: the end of its worker's lease was awaited, and it came back.
+    if (session.callsInFlight < MaxCallsPerWorker)
+      this->sendStop(worker, session, run);
+  }
+}
+
+void Dispatcher::onHoldAnswer(OrderId order, const HoldAnswer &answer, base::TimePoint now) {
+  State &dispatcher = *this->state;
+  dispatcher.now = now;
+  const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
+  if (!subject)
+    return;
+  const auto [worker, session] = dispatcher.find(subject->worker);
+  if (session == nullptr)
+    return;
+  session->holdInFlight = false;
+  dispatcher.dirtyWorkers.insert(session->life.id);
+  if (answer.outcome == OrderOutcome::OtherLife ||
+      (session->leaving && answer.outcome == OrderOutcome::NotSent)) {
+    dispatcher.removeWorker(*worker, *session);
+    return;
+  }
+  if (answer.outcome != OrderOutcome::Accepted) {
+    ++dispatcher.figures.holdsUnanswered;
+    session->holdLost = true;
+    session->nextHold = now + RetryPause;
+    return;
+  }
+  if (answer.bornMs && session->life.bornMs != 0 && *answer.bornMs != session->life.bornMs) {
+    WorkerProfile profile = worker->profile;
+    profile.life.bornMs = *answer.bornMs;
+    dispatcher.actions.emplace_back(Command(RegisterWorker{std::move(profile)}));
+    session->nextHold = now + RetryPause;
+    return;
+  }
+  if (!session->contacted)
+    dispatcher.planWanted = true;
+  session->holdLost = false;
+  session->contacted = true;
+  session->lastAnswer = now;
+  session->readClock(answer.clockMs, now);
+  session->nextHold = now + HoldPause;
+  dispatcher.judgeRuns(*worker, *session, answer);
+  RecordEnds command{session->life, {}};
+  for (const TaskEnd &end : answer.ended) {
+    if (end.number > worker->recordedEnds)
+      command.ends.push_back(end);
+  }
+  if (command.ends.empty())
+    return;
+  session->endsProposed = true;
+  dispatcher.actions.emplace_back(Command(std::move(command)));
+}
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -0,0 +1,70 @@
+#include "WorkerSession.h"
+
+#include <algorithm>
+
+namespace banyanrill::jobs {
+
+namespace {
+
+/// A worker's clock may be 2% slow; the rest covers rounding.
+constexpr double SlowClockFactor = 1.03;
+
+/// Age of a clock reading plus scheduling delays at the worker.
+constexpr base::Duration LeaseMargin = std::chrono::milliseconds(250);
+
+/// One failing job is the job's fault; failures of this many jobs without a success in between
+/// are the worker's.
+constexpr std::uint32_t SuspectJobs = 2;
+
+/// A worker that failed several jobs is tried again after this time.
+constexpr base::Duration AvoidTime = std::chrono::seconds(4);
+
+} // namespace
+
+base::TimePoint leaseEnd(base::TimePoint now, base::Duration lease, base::Duration stopGrace) {
+  const auto stretched =
+      static_cast<base::Duration::rep>(static_cast<double>(lease.count()) * SlowClockFactor);
+  return now + base::Duration(stretched) + stopGrace + LeaseMargin;
+}
+
+std::optional<std::int64_t> WorkerSession::clockAt(base::TimePoint now) const {
+  if (!this->clock)
+    return std::nullopt;
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->clock->at);
+  return this->clock->clockMs + passed.count();
+}
+
+void WorkerSession::readClock(std::optional<std::int64_t> clockMs, base::TimePoint now) {
+  if (!clockMs)
+    return;
+  // Answers overtake each other; a lower reading is older.
+  if (!this->clock || *clockMs >= this->clock->clockMs)
+    this->clock = ClockReading{*clockMs, now};
+}
+
+std::optional<std::int64_t> WorkerSession::grant(base::Duration lease, base::Duration stopGrace,
+                                                 base::TimePoint now) {
+  const std::optional<std::int64_t> clockNow = this->clockAt(now);
+  if (!clockNow)
+    return std::nullopt;
+  this->leaseEndsBy = std::max(this->leaseEndsBy, leaseEnd(now, lease, stopGrace));
+  return *clockNow + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
+}
+
+void WorkerSession::noteEnd(const TaskEnd &end, base::TimePoint now) {
+  if (end.kind == EndKind::Succeeded) {
+    this->health = {};
+    return;
+  }
+  if (end.kind != EndKind::Failed)
+    return;
+  ++this->health.failuresInRow;
+  if (this->health.lastFailedJob != end.run.task.job) {
+    this->health.lastFailedJob = end.run.task.job;
+    ++this->health.jobsFailedInRow;
+  }
+  if (this->health.jobsFailedInRow >= SuspectJobs)
+    this->health.avoidUntil = now + AvoidTime;
+}
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/jobs/src/WorkerSession.h
@@ -0,0 +1,89 @@
+// What the leader knows of one worker beyond the table: its clock, its lease, and the evidence
+// about each run that may be there.
+#pragma once
+
+#include "banyanrill/base/Time.h"
+#include "banyanrill/jobs/Orders.h"
+
+#include <deque>
+#include <optional>
+
+namespace banyanrill::jobs {
+
+/// Evidence about one placement. A run that was ordered may be there, or appear seconds later,
+/// until an answer of the worker or the end of its lease proves otherwise.
+struct RunView {
+  bool inherited = false; ///< Placed by an earlier leader; the fence bars its late orders.
+  std::uint32_t startsSent = 0;
+  bool startInFlight = false;
+  bool startAnswered = false; ///< It was there, or its end is listed.
+  bool stopWanted = false;
+  bool stopInFlight = false;
+  bool stopAnswered = false; ///< It cannot appear any more.
+  bool releaseProposed = false;
+  base::TimePoint settledAt =
+      base::TimePoint::max(); ///< A later look that misses it proves absence.
+  base::TimePoint nextTry = base::TimePoint::min();
+  base::TimePoint placedAt = base::TimePoint::min();
+  base::TimePoint ticketUntil = base::TimePoint::max();
+  std::string ticket;
+  std::string checkpoint; ///< Last one seen.
+  std::uint32_t percent = 0;
+  std::int64_t load = 0;
+  base::TimePoint progressAt = base::TimePoint::min(); ///< When `percent` last changed.
+};
+
+struct ClockReading {
+  std::int64_t clockMs = 0;
+  base::TimePoint at; ///< Not before the worker read its clock.
+};
+
+/// Successes and failures of a worker, to find one that fails what it starts.
+struct WorkerHealth {
+  std::uint32_t failuresInRow = 0;
+  std::string lastFailedJob;
+  std::uint32_t jobsFailedInRow = 0;
+  base::TimePoint avoidUntil = base::TimePoint::min();
+};
+
+struct WorkerSession {
+  WorkerLife life;
+  bool contacted = false; ///< Has answered under this leader's fence.
+  bool leaving = false;   ///< Has said that it ends now.
+  std::optional<ClockReading> clock;
+  bool holdInFlight = false;
+  bool holdLost = false; ///< The last hold was not answered.
+  base::TimePoint holdSent = base::TimePoint::min();
+  base::TimePoint nextHold = base::TimePoint::min();
+  base::TimePoint lastAnswer;
+  base::TimePoint leaseEndsBy; ///< From then on nothing runs there, on any clock.
+  bool endsProposed = false;
+  std::uint32_t callsInFlight = 0;
+  std::map<TaskKey, RunView> runs;
+  WorkerHealth health;
+
+  // Room, kept current by the planner.
+  bool roomStale = true;
+  base::Resources used;
+  std::uint32_t fillers = 0; ///< Runs that use what others leave.
+  std::uint32_t serving = 0; ///< Runs with a response target.
+
+  /// Lower bound of the worker's clock now; empty until it has told its clock.
+  std::optional<std::int64_t> clockAt(base::TimePoint now) const;
+
+  void readClock(std::optional<std::int64_t> clockMs, base::TimePoint now);
+
+  /// A lease that begins now. \returns its end on the worker's clock.
+  std::optional<std::int64_t> grant(base::Duration lease, base::Duration stopGrace,
+                                    base::TimePoint now);
+
+  /// Successes clear a suspicion; failures of several jobs in a row raise one.
+  void noteEnd(const TaskEnd &end, base::TimePoint now);
+
+  bool isAvoided(base::TimePoint now) const { return now < this->health.avoidUntil; }
+};
+
+/// By when a lease granted at `now` has certainly ended.
+base::TimePoint leaseEnd(base::TimePoint now, base::Duration lease, base::Duration stopGrace);
+
+} // namespace banyanrill::jobs
--- /dev/null
+++ b/packages/node/src/Group.cpp
@@ -0,0 +1,316 @@
+#include "Group.h"
+
+#include "banyanrill/base/EventLog.h"
+#include "banyanrill/wire/PeerCodec.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+namespace banyanrill::node {
+
+namespace {
+
+/// Bounds the log to replay at a restart and the memory that it takes.
+constexpr consensus::Index SnapshotInterval = 8192;
+
+constexpr std::size_t MaxCommandsPerEntry = 256;
+
+/// Entries on their way to a majority; more proposals wait and share the next entry.
+constexpr std::size_t MaxEntriesUnderWay = 4;
+
+consensus::ReplicaOptions replicaOptions(base::DaemonId self) {
+  consensus::ReplicaOptions options;
+  options.self = self;
+  // An election must end well within the leases of running tasks, and callers wait for it.
+  options.heartbeatInterval = std::chrono::milliseconds(120);
+  options.electionTimeoutMin = std::chrono::milliseconds(700);
+  options.electionTimeoutMax = std::chrono::milliseconds(1300);
+  return options;
+}
+
+/// Log entries are written by this program only; applying anything after one that cannot be read
+/// would make this replica differ from the others.
+[[noreturn]] void failOnEntry(const base::Error &error) {
+  std::fprintf(stderr, "log entry cannot be read: %s\n", error.message.c_str());
+  std::abort();
+}
+
+} // namespace
+
+base::Result<std::unique_ptr<Group>> Group::open(const std::string &folder,
+                                                 base::RandomSource random, GroupHandlers handlers,
+                                                 base::TimePoint now) {
+  std::unique_ptr<Group> group(new Group(random, std::move(handlers)));
+  const std::string replicaFolder = folder + "/replica";
+  base::Result<storage::LogStore> store =
+      daemon::openDataFolder(replicaFolder, group->stored, group->id);
+  if (!store && store.error().code == base::Errc::NotFound) {
+    // A new folder is a new identity, so a daemon that lost its disk cannot vote a second time.
+    const auto number = static_cast<std::uint32_t>(group->random.next() | 1U);
+    const auto created = storage::LogStore::create(replicaFolder, number);
+    if (!created)
+      return created.error();
+    store = daemon::openDataFolder(replicaFolder, group->stored, group->id);
+  }
+  if (!store)
+    return store.error();
+  Group *owner = group.get();
+  group->storage = std::make_unique<daemon::StorageTask>(
+      std::move(store.value()), [owner](daemon::CoreEvent event) {
+        owner->handlers.runLater(
+            [owner, event = std::move(event)]() mutable { owner->onStorage(std::move(event)); });
+      });
+  group->blank = !group->stored.snapshot && group->stored.entries.empty() &&
+                 group->stored.hardState == consensus::HardState();
+  if (!group->blank)
+    group->start(std::move(group->stored), now);
+  return group;
+}
+
+void Group::found(const std::vector<base::DaemonId> &voters,
+                  const std::map<std::uint32_t, jobs::Member> &members, base::TimePoint now) {
+  // The same first snapshot on all founders: a group whose membership needs no log entry.
+  consensus::Snapshot first;
+  first.index = 1;
+  first.term = 1;
+  first.membership.voters = voters;
+  jobs::TableState state;
+  state.members = members;
+  first.data = wire::encode(state);
+  consensus::StoredState initial;
+  initial.hardState.term = 1;
+  initial.snapshot = first;
+  daemon::StoreBatch batch;
+  batch.hardState = initial.hardState;
+  batch.snapshot = first;
+  this->storage->post(std::move(batch));
+  this->start(std::move(initial), now);
+}
+
+void Group::join(base::TimePoint now) { this->start({}, now); }
+
+void Group::start(consensus::StoredState initial, base::TimePoint now) {
+  this->blank = false;
+  if (initial.snapshot)
+    this->load(*initial.snapshot);
+  this->replica = std::make_unique<consensus::Replica>(
+      replicaOptions(this->id), consensus::Membership(), std::move(initial),
+      base::RandomSource(this->random.next()), now);
+}
+
+void Group::load(const consensus::Snapshot &snapshot) {
+  base::Result<jobs::TableState> state = wire::decodeTableState(snapshot.data);
+  if (!state)
+    failOnEntry(state.error());
+  this->jobTable = jobs::Table(std::move(state.value()));
+  this->applied = snapshot.index;
+  this->appliedTerm = snapshot.term;
+  this->snapshotIndex = snapshot.index;
+}
+
+void Group::step(const consensus::Message &message, base::TimePoint now) {
+  if (this->replica == nullptr || this->failed)
+    return;
+  this->replica->step(message, now);
+}
+
+void Group::tick(base::TimePoint now) {
+  if (this->replica != nullptr && !this->failed)
+    this->replica->tick(now);
+}
+
+bool Group::leads() const {
+  return this->replica != nullptr && !this->failed &&
+         this->replica->role() == consensus::Role::Leader &&
+         this->readyTerm == this->replica->term();
+}
+
+base::DaemonId Group::leader() const {
+  return this->replica == nullptr || this->failed ? base::NoDaemon : this->replica->leader();
+}
+
+consensus::Term Group::term() const { return this->replica == nullptr ? 0 : this->replica->term(); }
+
+consensus::Membership Group::membership() const {
+  return this->replica == nullptr ? consensus::Membership() : this->replica->membership();
+}
+
+void Group::propose(jobs::Command command, WhenDecided decided) {
+  this->proposals.push_back({std::move(command), std::move(decided)});
+  this->handlers.wake();
+}
+
+consensus::ProposeResult Group::proposeMembership(const consensus::Membership &membership,
+                                                  base::TimePoint now) {
+  this->handlers.wake();
+  return this->replica->proposeMembership(membership, now);
+}
+
+void Group::confirmLeadership(WhenConfirmed confirmed, base::TimePoint now) {
+  const std::uint64_t context = ++this->lastRead;
+  if (!this->leads() || !this->replica->requestRead(context, now)) {
+    confirmed(false);
+    return;
+  }
+  this->reads.emplace(context, std::move(confirmed));
+  this->handlers.wake();
+}
+
+void Group::transferLeadership(base::TimePoint now) {
+  if (this->replica != nullptr && !this->failed)
+    this->replica->transferLeadership(now);
+}
+
+void Group::work(base::TimePoint now, std::int64_t wallClockMs) {
+  if (this->replica == nullptr || this->failed)
+    return;
+  do {
+    const bool leadsOn = this->replica->role() == consensus::Role::Leader &&
+                         (!this->inOffice || this->replica->term() == this->readyTerm);
+    if (!leadsOn && (this->inOffice || !this->appended.empty()))
+      this->loseOffice();
+    this->appendProposals(wallClockMs, now);
+  } while (this->takeOutput(now));
+}
+
+void Group::appendProposals(std::int64_t wallClockMs, base::TimePoint now) {
+  if (this->replica->role() != consensus::Role::Leader) {
+    std::deque<Proposal> refused = std::exchange(this->proposals, {});
+    for (const Proposal &proposal : refused) {
+      if (proposal.decided)
+        proposal.decided(ProposalFate::NotTaken);
+    }
+    return;
+  }
+  consensus::Index index = 0;
+  consensus::Term term = 0;
+  if (this->barrierTerm != this->replica->term()) {
+    if (this->replica->propose(wire::encode(jobs::CommandBatch{wallClockMs, {}}), now, index,
+                               term) == consensus::ProposeResult::Accepted)
+      this->barrierTerm = term;
+    return;
+  }
+  while (!this->proposals.empty() && this->appended.size() < MaxEntriesUnderWay) {
+    jobs::CommandBatch batch;
+    batch.logTimeMs = wallClockMs;
+    const std::size_t count = std::min(this->proposals.size(), MaxCommandsPerEntry);
+    for (std::size_t i = 0; i < count; ++i)
+      batch.commands.push_back(this->proposals[i].command);
+    if (this->replica->propose(wire::encode(batch), now, index, term) !=
+        consensus::ProposeResult::Accepted)
+      return;
+    Appended entry;
+    entry.term = term;
+    for (std::size_t i = 0; i < count; ++i)
+      entry.decided.push_back(std::move(this->proposals[i].decided));
+    this->proposals.erase(this->proposals.begin(),
+                          this->proposals.begin() + static_cast<std::ptrdiff_t>(count));
+    this->appended[index] = std::move(entry);
+  }
+}
+
+bool Group::takeOutput(base::TimePoint now) {
+  consensus::Output output = this->replica->takeOutput();
+  for (const consensus::Message &message : output.messages)
+    this->handlers.send(message);
+  if (output.snapshot)
+    this->load(*output.snapshot);
+  if (output.mustStore()) {
+    daemon::StoreBatch batch;
+    batch.index = output.storedIndex;
+    batch.term = output.storedTerm;
+    batch.confirm = true;
+    batch.hardState = output.hardState;
+    batch.snapshot = std::move(output.snapshot);
+    batch.entries = std::move(output.entries);
+    this->storage->post(std::move(batch));
+  }
+  for (const consensus::Entry &entry : output.committed)
+    this->apply(entry);
+  for (const consensus::ReadReady &read : output.reads) {
+    const auto found = this->reads.find(read.context);
+    if (found == this->reads.end())
+      continue;
+    const WhenConfirmed confirmed = std::move(found->second);
+    this->reads.erase(found);
+    confirmed(this->applied >= read.index);
+  }
+  if (this->applied - this->snapshotIndex >= SnapshotInterval)
+    this->takeSnapshot();
+  if (this->replica->role() == consensus::Role::Leader &&
+      this->barrierTerm != this->replica->term())
+    this->appendProposals(0, now);
+  return !output.committed.empty();
+}
+
+void Group::apply(const consensus::Entry &entry) {
+  this->applied = entry.index;
+  this->appliedTerm = entry.term;
+  if (entry.kind != consensus::EntryKind::Command)
+    return;
+  const base::Result<jobs::CommandBatch> batch = wire::decodeCommandBatch(entry.payload);
+  if (!batch)
+    failOnEntry(batch.error());
+  const jobs::Effect effect = this->jobTable.apply(batch.value());
+  if (this->inOffice)
+    this->handlers.applied(batch.value(), effect);
+  if (entry.term == this->barrierTerm && this->readyTerm != entry.term &&
+      this->replica->role() == consensus::Role::Leader && this->replica->term() == entry.term) {
+    this->readyTerm = entry.term;
+    this->inOffice = true;
+    this->handlers.becameLeader();
+  }
+  const auto own = this->appended.find(entry.index);
+  if (own == this->appended.end())
+    return;
+  const Appended mine = std::move(own->second);
+  this->appended.erase(own);
+  for (const WhenDecided &decided : mine.decided) {
+    if (decided)
+      decided(mine.term == entry.term ? ProposalFate::Applied : ProposalFate::NotTaken);
+  }
+}
+
+void Group::loseOffice() {
+  if (std::exchange(this->inOffice, false))
+    this->handlers.lostLeadership();
+  const std::map<consensus::Index, Appended> open = std::exchange(this->appended, {});
+  for (const auto &[index, entry] : open) {
+    for (const WhenDecided &decided : entry.decided) {
+      if (decided)
+        decided(ProposalFate::InDoubt);
+    }
+  }
+  const std::map<std::uint64_t, WhenConfirmed> unconfirmed = std::exchange(this->reads, {});
+  for (const auto &[context, confirmed] : unconfirmed)
+    confirmed(false);
+}
+
+void Group::takeSnapshot() {
+  consensus::Snapshot snapshot{this->applied, this->appliedTerm,
+                               this->replica->membershipAt(this->applied),
+                               wire::encode(this->jobTable.state())};
+  this->snapshotIndex = this->applied;
+  daemon::StoreBatch batch;
+  batch.snapshot = snapshot;
+  this->storage->post(std::move(batch));
+  this->replica->compact(std::move(snapshot));
+}
+
+void Group::onStorage(daemon::CoreEvent event) {
+  if (const auto *done = std::get_if<daemon::StorageDone>(&event)) {
+    this->replica->onStored(done->index, done->term, base::steadyNow());
+    this->handlers.wake();
+    return;
+  }
+  if (const auto *failure = std::get_if<daemon::StorageFailed>(&event)) {
+    base::logEvent(base::Event::StorageFailed, {{"message", failure->reason}});
+    if (this->inOffice)
+      this->loseOffice();
+    this->failed = true;
+  }
+}
+
+} // namespace banyanrill::node
--- /dev/null
+++ b/packages/node/src/Leading.cpp
@@ -0,0 +1,265 @@
+// The leader's answers to requests, and its office.
+#include "NodeState.h"
+#include "banyanrill/base/EventLog.h"
+
+#include <algorithm>
+
+namespace banyanrill::node {
+
+namespace {
+
+/// A caller's identifier of a job.
+constexpr std::size_t MaxJobIdBytes = 64;
+
+/// When a caller should come back to a cell that has no configuration yet.
+constexpr std::int64_t NoConfigurationRetryMs = 1000;
+
+jobs::Reply replyOf(jobs::ReplyCode code, std::string message) {
+  jobs::Reply reply;
+  reply.code = code;
+  reply.message = std::move(message);
+  return reply;
+}
+
+jobs::Reply inDoubt() { return replyOf(jobs::ReplyCode::InDoubt, "the leader lost its office"); }
+
+} // namespace
+
+void Node::State::answer(const jobs::Request &request, ReplyTo reply) {
+  std::visit([&](const auto &typed) { this->answerTyped(typed, reply); }, request);
+}
+
+void Node::State::proposeFor(jobs::Command command, ReplyTo reply, jobs::Reply success) {
+  this->group->propose(std::move(command),
+                       [reply = std::move(reply), success = std::move(success)](ProposalFate fate) {
+                         reply(fate == ProposalFate::Applied ? success : inDoubt());
+                       });
+}
+
+void Node::State::confirmFor(ReplyTo reply, std::function<jobs::Reply()> make) {
+  this->group->confirmLeadership([reply = std::move(reply), make = std::move(make)](
+                                     bool confirmed) { reply(confirmed ? make() : inDoubt()); },
+                                 this->now);
+}
+
+void Node::State::answerTyped(const jobs::SubmitRequest &request, ReplyTo reply) {
+  const jobs::Table &table = this->group->table();
+  if (!table.state().configuration) {
+    jobs::Reply refusal = replyOf(jobs::ReplyCode::Unavailable, "there is no configuration yet");
+    refusal.retryAfterMs = NoConfigurationRetryMs;
+    reply(std::move(refusal));
+    return;
+  }
+  std::string id;
+  const jobs::Queue *queue = table.findQueue(request.host, request.path, id);
+  if (queue == nullptr) {
+    this->confirmFor(reply, [] {
+      return replyOf(jobs::ReplyCode::NoSuchQueue, "no queue has this host and path");
+    });
+    return;
+  }
+  if (id.empty() || id.size() > MaxJobIdBytes || id.find('/') != std::string::npos ||
+      id.find('.') != std::string::npos) {
+    reply(replyOf(jobs::ReplyCode::Invalid, "the path does not end with a job's identifier"));
+    return;
+  }
+  if (table.findJob(id) != nullptr) {
+    reply({});
+    return;
+  }
+  jobs::JobSpec spec = request.spec;
+  spec.id = id;
+  this->proposeFor(jobs::AcceptJob{std::move(spec), *queue}, std::move(reply), {});
+}
+
+void Node::State::answerTyped(const jobs::StateRequest &request, ReplyTo reply) {
+  const jobs::Table &table = this->group->table();
+  std::string id;
+  const jobs::Queue *queue = table.findQueue(request.host, request.path, id);
+  if (queue == nullptr) {
+    this->confirmFor(reply, [] {
+      return replyOf(jobs::ReplyCode::NoSuchQueue, "no queue has this host and path");
+    });
+    return;
+  }
+  jobs::Reply found;
+  if (id.empty()) {
+    found.waiting = this->dispatcher ? this->dispatcher->waitingIn(queue->name) : 0;
+    reply(std::move(found));
+    return;
+  }
+  const jobs::Job *job = table.findJob(id);
+  if (job == nullptr) {
+    this->confirmFor(reply,
+                     [] { return replyOf(jobs::ReplyCode::NoSuchJob, "the job is not known"); });
+    return;
+  }
+  found.phase = job->phase;
+  found.started = job->started;
+  reply(std::move(found));
+}
+
+void Node::State::answerTyped(const jobs::CancelRequest &request, ReplyTo reply) {
+  const jobs::Table &table = this->group->table();
+  std::string id;
+  if (table.findQueue(request.host, request.path, id) == nullptr) {
+    this->confirmFor(reply, [] {
+      return replyOf(jobs::ReplyCode::NoSuchQueue, "no queue has this host and path");
+    });
+    return;
+  }
+  if (table.findJob(id) == nullptr) {
+    this->confirmFor(reply,
+                     [] { return replyOf(jobs::ReplyCode::NoSuchJob, "the job is not known"); });
+    return;
+  }
+  this->proposeFor(jobs::CancelJob{id}, std::move(reply), {});
+}
+
+void Node::State::answerTyped(const jobs::ConfigureRequest &request, ReplyTo reply) {
+  const std::optional<jobs::Configuration> &current = this->group->table().state().configuration;
+  if (current && current->version >= request.configuration.version) {
+    reply(replyOf(jobs::ReplyCode::Done, "the version is not higher than the one in force"));
+    return;
+  }
+  this->proposeFor(jobs::PutConfiguration{request.configuration}, std::move(reply), {});
+}
+
+void Node::State::answerTyped(const jobs::ReadConfigurationRequest & /*request*/, ReplyTo reply) {
+  this->confirmFor(std::move(reply), [this] {
+    const std::optional<jobs::Configuration> &current = this->group->table().state().configuration;
+    if (!current)
+      return replyOf(jobs::ReplyCode::Unavailable, "there is no configuration yet");
+    jobs::Reply found;
+    found.document = current->document;
+    return found;
+  });
+}
+
+void Node::State::answerTyped(const jobs::WorkerReport &request, ReplyTo reply) {
+  jobs::Reply accepted;
+  accepted.reportTo = this->roster->self().controlAddress;
+  const jobs::Worker *worker = this->group->table().findWorker(request.profile.life.id);
+  if (worker != nullptr && worker->profile == request.profile) {
+    if (this->dispatcher)
+      this->dispatcher->onReport(request, this->now);
+    reply(std::move(accepted));
+    return;
+  }
+  this->group->propose(
+      jobs::RegisterWorker{request.profile},
+      [this, request, accepted = std::move(accepted), reply = std::move(reply)](ProposalFate fate) {
+        if (fate != ProposalFate::Applied) {
+          reply(inDoubt());
+          return;
+        }
+        if (this->dispatcher)
+          this->dispatcher->onReport(request, this->now);
+        reply(accepted);
+      });
+}
+
+void Node::State::answerTyped(const jobs::WorkerLeaves &request, ReplyTo reply) {
+  if (this->dispatcher)
+    this->dispatcher->onLeaving(request.worker, this->now);
+  const jobs::Worker *worker = this->group->table().findWorker(request.worker);
+  if (worker == nullptr || worker->profile.draining) {
+    reply({});
+    return;
+  }
+  jobs::WorkerProfile profile = worker->profile;
+  profile.draining = true;
+  this->proposeFor(jobs::RegisterWorker{std::move(profile)}, std::move(reply), {});
+}
+
+void Node::State::answerTyped(const jobs::WaveRequest &request, ReplyTo reply) {
+  this->proposeFor(jobs::StartWave{request.wave}, std::move(reply), {});
+}
+
+void Node::State::answerTyped(const jobs::WaveStateRequest &request, ReplyTo reply) {
+  const std::map<std::uint64_t, jobs::Wave> &waves = this->group->table().state().waves;
+  const auto found = waves.find(request.wave);
+  if (found == waves.end()) {
+    this->confirmFor(reply,
+                     [] { return replyOf(jobs::ReplyCode::NoSuchJob, "the wave is not known"); });
+    return;
+  }
+  jobs::Reply state;
+  state.waveDone = found->second.waiting.empty();
+  reply(std::move(state));
+}
+
+void Node::State::onBecameLeader() {
+  ++this->figures.leaderships;
+  jobs::DispatcherOptions dispatcherOptions;
+  dispatcherOptions.term = this->group->term();
+  dispatcherOptions.stopGrace = this->options.stopGrace;
+  dispatcherOptions.gangTimeout = this->options.gangTimeout;
+  dispatcherOptions.lease = std::min(dispatcherOptions.lease, this->options.maxLease);
+  this->dispatcher = std::make_unique<jobs::Dispatcher>(this->group->table(), dispatcherOptions,
+                                                        base::RandomSource(this->random.next()),
+                                                        this->now, wallClockMs());
+  this->seenTerm = std::max(this->seenTerm, this->group->term());
+  this->updateAdvisers();
+  base::logEvent(base::Event::BecameLeader,
+                 {{"term", std::to_string(this->group->term())},
+                  {"jobs", std::to_string(this->group->table().state().jobs.size())},
+                  {"workers", std::to_string(this->group->table().state().workers.size())}});
+  this->scheduleWork();
+}
+
+void Node::State::onLostLeadership() {
+  this->dispatcher.reset();
+  this->roster->doubtLeader(this->roster->self().id);
+  base::logEvent(base::Event::LostLeadership, {{"term", std::to_string(this->group->term())}});
+}
+
+void Node::State::onApplied(const jobs::CommandBatch &batch, const jobs::Effect &effect) {
+  if (this->dispatcher)
+    this->dispatcher->onApplied(batch, effect, this->now);
+  for (const std::string &id : effect.endedJobs) {
+    const jobs::Job *job = this->group->table().findJob(id);
+    if (job == nullptr)
+      continue;
+    base::logEvent(base::Event::JobEnded, {{"job", id},
+                                           {"queue", job->queue.name},
+                                           {"outcome", std::string(jobs::nameOf(job->phase))},
+                                           {"ms", std::to_string(job->endedMs - job->acceptedMs)}});
+  }
+  for (const jobs::Command &command : batch.commands) {
+    if (const auto *accepted = std::get_if<jobs::AcceptJob>(&command)) {
+      base::logEvent(base::Event::JobAccepted,
+                     {{"job", accepted->spec.id},
+                      {"queue", accepted->queue.name},
+                      {"steps", std::to_string(accepted->spec.steps.size())}});
+    } else if (const auto *ends = std::get_if<jobs::RecordEnds>(&command)) {
+      for (const jobs::TaskEnd &end : ends->ends)
+        base::logEvent(base::Event::RunEnded, {{"job", end.run.task.job},
+                                               {"step", std::to_string(end.run.task.step)},
+                                               {"task", std::to_string(end.run.task.index)},
+                                               {"run", std::to_string(end.run.run)},
+                                               {"worker", ends->worker.id},
+                                               {"outcome", std::string(jobs::nameOf(end.kind))}});
+    } else if (const auto *registered = std::get_if<jobs::RegisterWorker>(&command)) {
+      base::logEvent(base::Event::WorkerRegistered,
+                     {{"worker", registered->profile.life.id},
+                      {"born", std::to_string(registered->profile.life.bornMs)},
+                      {"draining", registered->profile.draining ? "true" : "false"}});
+    } else if (const auto *removed = std::get_if<jobs::RemoveWorker>(&command)) {
+      base::logEvent(base::Event::WorkerRemoved, {{"worker", removed->worker.id}});
+    } else if (const auto *released = std::get_if<jobs::ReleaseRuns>(&command)) {
+      for (const jobs::ReleasedRun &run : released->runs)
+        base::logEvent(base::Event::RunReleased, {{"job", run.run.task.job},
+                                                  {"step", std::to_string(run.run.task.step)},
+                                                  {"task", std::to_string(run.run.task.index)},
+                                                  {"run", std::to_string(run.run.run)},
+                                                  {"worker", run.worker}});
+    } else if (const auto *put = std::get_if<jobs::PutConfiguration>(&command)) {
+      base::logEvent(base::Event::ConfigurationInForce,
+                     {{"version", std::to_string(put->configuration.version)},
+                      {"queues", std::to_string(put->configuration.queues.size())}});
+    }
+  }
+}
+
+} // namespace banyanrill::node
--- /dev/null
+++ b/packages/node/src/NodeState.h
@@ -0,0 +1,131 @@
+// State of the node, shared by its parts: requests (Requests.cpp), the leader's answers
+// (Leading.cpp), orders (Ordering.cpp) and peers (Peers.cpp).
+#pragma once
+
+#include "Group.h"
+#include "Steward.h"
+#include "banyanrill/jobs/Dispatcher.h"
+#include "banyanrill/membership/Roster.h"
+#include "banyanrill/node/Node.h"
+
+#include <atomic>
+#include <latch>
+#include <unordered_map>
+
+namespace banyanrill::node {
+
+using ReplyTo = std::function<void(jobs::Reply)>;
+
+/// A caller's request that is not answered yet.
+struct OpenRequest {
+  std::uint64_t id = 0; ///< For the log.
+  http::ExchangeId exchange = 0;
+  jobs::Request request;
+  base::TimePoint received;
+  base::TimePoint giveUpAt;
+  bool mayHaveRun = false; ///< A leader may have acted on it.
+  bool underWay = false;   ///< A leader is working on it.
+  std::uint32_t attempts = 0;
+};
+
+struct NodeFigures {
+  std::map<std::string, std::uint64_t> replies; ///< By "request/code".
+  std::uint64_t forwarded = 0;
+  std::uint64_t peerCallsFailed = 0;
+  std::uint64_t leaderships = 0;
+};
+
+struct Node::State {
+  State(NodeOptions nodeOptions, Dialect nodeDialect);
+
+  NodeOptions options;
+  Dialect dialect;
+  base::RandomSource random;
+  base::TimePoint now;
+  std::vector<Door> doors; ///< By number of the listener.
+  std::unique_ptr<http::Loop> loop;
+  std::latch loopKnown{1};      ///< The loop's thread may be faster than the assignment of `loop`.
+  std::unique_ptr<Group> group; ///< Null without a disk.
+  std::unique_ptr<membership::Roster> roster;
+  std::unique_ptr<jobs::Dispatcher> dispatcher; ///< While this node leads.
+  Steward steward;
+  std::unordered_map<http::CallId, std::function<void(http::CallResult)>> calls;
+  std::map<std::uint64_t, OpenRequest> open;
+  std::uint64_t lastRequest = 0;
+  std::uint64_t seenTerm = 0; ///< Highest term of a leader that answered.
+  std::map<base::DaemonId, std::vector<consensus::Message>> outbox;
+  std::map<base::DaemonId, std::uint32_t> sending; ///< Calls with replica messages under way.
+  bool workScheduled = false;
+  bool draining = false;
+  std::atomic<bool> drained = false;
+  base::TimePoint lastContact = base::TimePoint::min(); ///< With a leader.
+  base::TimePoint nextSteward = base::TimePoint::min();
+  std::int64_t sleptMs = 0; ///< Time that the machine was suspended, so far.
+  NodeFigures figures;
+
+  base::Status open_();
+  void onRequest(http::ExchangeId exchange, http::Request request);
+  void onCallResult(http::CallId id, http::CallResult result);
+  void call(http::Call call, std::function<void(http::CallResult)> done);
+  void scheduleWork();
+  void work();
+  void onWake();
+  void noticeSuspension();
+  static std::int64_t wallClockMs();
+
+  // Requests of callers, workers and operators.
+  void serve(http::ExchangeId exchange, Door door, const http::Request &request);
+  void advance(std::uint64_t id);
+  void forward(OpenRequest &request, const membership::KnownLeader &leader);
+  void finish(std::uint64_t id, jobs::Reply reply);
+  void retryOpen();
+  bool isReady() const;
+  std::string metricsText() const;
+
+  // The leader's answers.
+  void answer(const jobs::Request &request, ReplyTo reply);
+  void answerTyped(const jobs::SubmitRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::StateRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::CancelRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::ConfigureRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::ReadConfigurationRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::WorkerReport &request, ReplyTo reply);
+  void answerTyped(const jobs::WorkerLeaves &request, ReplyTo reply);
+  void answerTyped(const jobs::WaveRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::WaveStateRequest &request, ReplyTo reply);
+  void proposeFor(jobs::Command command, ReplyTo reply, jobs::Reply success);
+  void confirmFor(ReplyTo reply, std::function<jobs::Reply()> make);
+  void onBecameLeader();
+  void onLostLeadership();
+  void onApplied(const jobs::CommandBatch &batch, const jobs::Effect &effect);
+
+  // Orders to workers and to the advisory service.
+  void carryOut(jobs::Action action);
+  void carryOutTyped(const jobs::StartOrder &order);
+  void carryOutTyped(const jobs::StopOrder &order);
+  void carryOutTyped(const jobs::PaceOrder &order);
+  void carryOutTyped(const jobs::HoldOrder &order);
+  void carryOutTyped(const jobs::AdviceOrder &order);
+  void carryOutTyped(const jobs::Command &command);
+  void askAdvice(const wire::AskAdvice &ask, std::function<void(jobs::AdviceAnswer)> done);
+  void updateAdvisers();
+
+  // Peers.
+  void onPeerRequest(http::ExchangeId exchange, const http::Request &request);
+  void answerPeer(http::ExchangeId exchange, const membership::Greeting &greeting);
+  void answerPeer(http::ExchangeId exchange, const wire::ReplicaMessages &messages);
+  void answerPeer(http::ExchangeId exchange, const wire::ForwardedRequest &forwarded);
+  void answerPeer(http::ExchangeId exchange, const wire::AskAdvice &ask);
+  void respondPeer(http::ExchangeId exchange, const wire::PeerReply &reply);
+  void callPeer(const std::string &address, const wire::PeerRequest &request,
+                base::Duration timeout,
+                std::function<void(base::Verdict, std::optional<wire::PeerReply>)> done);
+  void greet();
+  void sendReplicaMessages();
+  void followGroup();
+  void nameMembers();
+  void foundGroup();
+  jobs::Member memberOf(base::DaemonId id) const;
+};
+
+} // namespace banyanrill::node
--- /dev/null
+++ b/packages/node/src/Peers.cpp
@@ -0,0 +1,216 @@
+// Messages between nodes: greetings, replica messages, forwarded requests and advisory calls. Each
+// is one HTTP request with a time limit, so a channel that goes silent is dropped and dialled
+// again.
+#include "NodeState.h"
+#include "banyanrill/base/EventLog.h"
+#include "banyanrill/wire/PeerCodec.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace banyanrill::node {
+
+namespace {
+
+constexpr const char *PeerPath = "/peer";
+
+constexpr base::Duration GreetingTimeout = std::chrono::milliseconds(500);
+
+/// Replica messages are repeated by the protocol, so waiting longer gains nothing.
+constexpr base::Duration ReplicaTimeout = std::chrono::milliseconds(500);
+
+/// Calls with replica messages to one node at the same time; more messages wait and share a call.
+constexpr std::uint32_t MaxSending = 3;
+
+/// Replica messages waiting for one node; the oldest are dropped, as on a lossy network.
+constexpr std::size_t MaxOutbox = 256;
+
+std::optional<std::pair<std::string, std::uint16_t>> splitAddress(const std::string &address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return std::nullopt;
+  std::uint16_t port = 0;
+  const char *end = address.data() + address.size();
+  const auto [stop, error] = std::from_chars(address.data() + colon + 1, end, port);
+  if (error != std::errc() || stop != end || port == 0)
+    return std::nullopt;
+  return std::make_pair(address.substr(0, colon), port);
+}
+
+} // namespace
+
+void Node::State::onPeerRequest(http::ExchangeId exchange, const http::Request &request) {
+  const base::Result<wire::PeerRequest> decoded = wire::decodePeerRequest(request.body);
+  if (!decoded) {
+    base::logEvent(base::Event::PeerMessageRejected, {{"message", decoded.error().message}});
+    this->loop->respond(exchange, {400, {}, {}});
+    return;
+  }
+  std::visit([&](const auto &typed) { this->answerPeer(exchange, typed); }, decoded.value());
+}
+
+void Node::State::respondPeer(http::ExchangeId exchange, const wire::PeerReply &reply) {
+  this->loop->respond(exchange, {200, {}, wire::encode(reply)});
+}
+
+void Node::State::answerPeer(http::ExchangeId exchange, const membership::Greeting &greeting) {
+  this->respondPeer(exchange, this->roster->onGreeting(greeting, this->now));
+}
+
+void Node::State::answerPeer(http::ExchangeId exchange, const wire::ReplicaMessages &messages) {
+  if (this->group) {
+    for (const consensus::Message &message : messages.messages)
+      this->group->step(message, this->now);
+  }
+  this->respondPeer(exchange, wire::Received());
+}
+
+void Node::State::answerPeer(http::ExchangeId exchange, const wire::ForwardedRequest &forwarded) {
+  if (!this->group || !this->group->leads() || this->group->term() < forwarded.minimumTerm) {
+    this->respondPeer(exchange, wire::ForwardedReply());
+    return;
+  }
+  this->answer(forwarded.request, [this, exchange, term = this->group->term()](jobs::Reply reply) {
+    this->respondPeer(exchange, wire::ForwardedReply{true, term, std::move(reply)});
+  });
+}
+
+void Node::State::answerPeer(http::ExchangeId exchange, const wire::AskAdvice &ask) {
+  this->askAdvice(ask, [this, exchange](const jobs::AdviceAnswer &answer) {
+    this->respondPeer(exchange, answer);
+  });
+}
+
+void Node::State::callPeer(
+    const std::string &address, const wire::PeerRequest &request, base::Duration timeout,
+    std::function<void(base::Verdict, std::optional<wire::PeerReply>)> done) {
+  const std::optional<std::pair<std::string, std::uint16_t>> target = splitAddress(address);
+  if (!target) {
+    done(base::Verdict::DidNotRun, std::nullopt);
+    return;
+  }
+  http::Call call;
+  call.host = target->first;
+  call.port = target->second;
+  call.timeout = timeout;
+  call.request.method = "POST";
+  call.request.path = PeerPath;
+  call.request.body = wire::encode(request);
+  this->call(std::move(call), [this, done = std::move(done)](const http::CallResult &result) {
+    std::optional<wire::PeerReply> reply;
+    if (result.verdict == base::Verdict::Ran && result.response.status == 200) {
+      base::Result<wire::PeerReply> decoded = wire::decodePeerReply(result.response.body);
+      if (decoded)
+        reply = std::move(decoded.value());
+      else
+        base::logEvent(base::Event::PeerMessageRejected, {{"message", decoded.error().message}});
+    }
+    if (!reply)
+      ++this->figures.peerCallsFailed;
+    done(result.verdict, std::move(reply));
+  });
+}
+
+void Node::State::greet() {
+  for (const std::string &address : this->roster->takeTargets(this->now)) {
+    this->callPeer(address, this->roster->greeting(), GreetingTimeout,
+                   [this](base::Verdict /*verdict*/, std::optional<wire::PeerReply> answered) {
+                     const auto *reply =
+                         answered ? std::get_if<membership::GreetingReply>(&*answered) : nullptr;
+                     if (reply == nullptr)
+                       return;
+                     this->roster->onReply(*reply, this->now);
+                     if (reply->leader == reply->responder.id) {
+                       this->lastContact = this->now;
+                       this->seenTerm = std::max(this->seenTerm, reply->term);
+                     }
+                     if (this->roster->isFounding())
+                       this->foundGroup();
+                   });
+  }
+}
+
+void Node::State::sendReplicaMessages() {
+  for (auto &[to, messages] : this->outbox) {
+    if (messages.empty())
+      continue;
+    const membership::PeerRecord *peer = this->roster->find(to);
+    if (peer == nullptr) {
+      messages.clear();
+      continue;
+    }
+    if (messages.size() > MaxOutbox)
+      messages.erase(messages.begin(), messages.end() - MaxOutbox);
+    if (this->sending[to] >= MaxSending)
+      continue;
+    ++this->sending[to];
+    this->callPeer(
+        peer->address, wire::ReplicaMessages{std::exchange(messages, {})}, ReplicaTimeout,
+        [this, to = to](base::Verdict /*verdict*/,
+                        const std::optional<wire::PeerReply> & /*reply*/) { --this->sending[to]; });
+  }
+}
+
+jobs::Member Node::State::memberOf(base::DaemonId id) const {
+  const membership::PeerRecord *peer =
+      id == this->roster->self().id ? &this->roster->self() : this->roster->find(id);
+  if (peer == nullptr)
+    return {};
+  return {id, peer->address, peer->region};
+}
+
+void Node::State::foundGroup() {
+  if (!this->group || !this->group->isBlank())
+    return;
+  const std::optional<std::vector<base::DaemonId>> agreed = this->roster->agreedFounders(this->now);
+  if (!agreed && this->roster->leader()) {
+    // The group exists without this node; its leader adds it as a learner.
+    this->roster->endFounding({});
+    this->group->join(this->now);
+    return;
+  }
+  if (!agreed)
+    return;
+  std::vector<base::DaemonId> voters = *agreed;
+  voters.resize(std::min(voters.size(), 2 * this->options.tolerated + 1));
+  this->roster->endFounding(*agreed);
+  if (std::find(voters.begin(), voters.end(), this->group->self()) == voters.end()) {
+    this->group->join(this->now); // The leader adds this node as a learner.
+    return;
+  }
+  std::map<std::uint32_t, jobs::Member> members;
+  for (const base::DaemonId id : voters)
+    members.emplace(id, this->memberOf(id));
+  this->group->found(voters, members, this->now);
+  base::logEvent(base::Event::GroupFounded, {{"voters", std::to_string(voters.size())},
+                                             {"known_disks", std::to_string(agreed->size())}});
+}
+
+void Node::State::followGroup() {
+  if (!this->group->isRunning())
+    return;
+  for (const auto &[id, member] : this->group->table().state().members)
+    this->roster->learnAddress(id, member.address, member.region);
+  const base::DaemonId leader = this->group->leader();
+  const bool isSelf = leader == this->group->self();
+  if (leader != base::NoDaemon && (!isSelf || this->group->leads())) {
+    this->roster->setLeader(leader, this->group->term());
+    if (!isSelf)
+      this->lastContact = this->now;
+  }
+}
+
+void Node::State::nameMembers() {
+  const consensus::Membership membership = this->group->membership();
+  const std::map<std::uint32_t, jobs::Member> &named = this->group->table().state().members;
+  for (const std::vector<consensus::ReplicaId> *ids : {&membership.voters, &membership.learners}) {
+    for (const consensus::ReplicaId id : *ids) {
+      const jobs::Member member = this->memberOf(id);
+      const auto known = named.find(id);
+      if (!member.address.empty() && (known == named.end() || known->second != member))
+        this->group->propose(jobs::NameMember{member});
+    }
+  }
+}
+
+} // namespace banyanrill::node
--- /dev/null
+++ b/packages/wire/include/banyanrill/wire/Peer.h
@@ -0,0 +1,51 @@
+// Messages between the daemons of a cell that learns its members, each an HTTP request and answer.
+#pragma once
+
+#include "banyanrill/consensus/Message.h"
+#include "banyanrill/jobs/Api.h"
+#include "banyanrill/jobs/Orders.h"
+#include "banyanrill/membership/Roster.h"
+
+#include <variant>
+
+namespace banyanrill::wire {
+
+struct ReplicaMessages {
+  std::vector<consensus::Message> messages;
+  bool operator==(const ReplicaMessages &) const = default;
+};
+
+/// A request that another daemon received, passed to the leader.
+struct ForwardedRequest {
+  std::uint64_t requestId = 0; ///< For the logs of both daemons.
+  jobs::Request request;
+  std::uint64_t minimumTerm = 0; ///< The leader must be of this term or a later one.
+  bool operator==(const ForwardedRequest &) const = default;
+};
+
+/// Asks a daemon to call the advisory service.
+struct AskAdvice {
+  jobs::StepKey step;
+  std::vector<std::string> workers;
+  std::int64_t expectedMs = 0;
+  bool operator==(const AskAdvice &) const = default;
+};
+
+using PeerRequest =
+    std::variant<membership::Greeting, ReplicaMessages, ForwardedRequest, AskAdvice>;
+
+struct Received {
+  bool operator==(const Received &) const = default;
+};
+
+struct ForwardedReply {
+  bool leads = false;     ///< False: `reply` is empty, and nothing ran.
+  std::uint64_t term = 0; ///< Of the leader that answered.
+  jobs::Reply reply;
+  bool operator==(const ForwardedReply &) const = default;
+};
+
+using PeerReply =
+    std::variant<membership::GreetingReply, Received, ForwardedReply, jobs::AdviceAnswer>;
+
+} // namespace banyanrill::wire
--- a/packages/wire/src/Archive.h
+++ b/packages/wire/src/Archive.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <msgpack.hpp>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <type_traits>
@@ -58,6 +60,18 @@
       this->write(value);
   }
 
+  template <typename K, typename V> void write(const std::map<K, V> &values) {
+    this->packer.pack_array(static_cast<std::uint32_t>(values.size()));
+    for (const std::pair<const K, V> &value : values)
+      (*this)(value.first, value.second);
+  }
+
+  template <typename T> void write(const std::set<T> &values) {
+    this->packer.pack_array(static_cast<std::uint32_t>(values.size()));
+    for (const T &value : values)
+      this->write(value);
+  }
+
   template <typename A, typename B> void write(const std::pair<A, B> &value) {
     (*this)(value.first, value.second);
   }
@@ -134,6 +148,24 @@
       Reader(array.ptr[i]).read(values.emplace_back());
   }
 
+  template <typename K, typename V> void read(std::map<K, V> &values) {
+    std::vector<std::pair<K, V>> pairs;
+    this->read(pairs);
+    values.clear();
+    for (std::pair<K, V> &pair : pairs) {
+      if (!values.insert(std::move(pair)).second)
+        throw MalformedInput("key that occurs twice");
+    }
+  }
+
+  template <typename T> void read(std::set<T> &values) {
+    std::vector<T> list;
+    this->read(list);
+    values = std::set<T>(list.begin(), list.end());
+    if (values.size() != list.size())
+      throw MalformedInput("value that occurs twice");
+  }
+
   template <typename A, typename B> void read(std::pair<A, B> &value) {
     (*this)(value.first, value.second);
   }
--- /dev/null
+++ b/packages/wire/src/JobFields.h
@@ -0,0 +1,96 @@
+// Lists the fields of the job table's structs and of peer messages. The order is part of the
+// protocol.
+#pragma once
+
+#include "banyanrill/jobs/Table.h"
+#include "banyanrill/wire/Peer.h"
+
+namespace banyanrill {
+
+#define BANYANRILL_FIELDS(TYPE, ...)                                                               \
+  template <typename Archive> void describe(Archive &archive, TYPE &v) { archive(__VA_ARGS__); }   \
+  template <typename Archive> void describe(Archive &archive, const TYPE &v) {                     \
+    archive(__VA_ARGS__);                                                                          \
+  }
+#define BANYANRILL_NO_FIELDS(TYPE)                                                                 \
+  template <typename Archive> void describe(Archive &archive, TYPE &) { archive(); }               \
+  template <typename Archive> void describe(Archive &archive, const TYPE &) { archive(); }
+
+namespace jobs {
+BANYANRILL_FIELDS(Step, v.count, v.demand, v.estimatedMs, v.after, v.checkpointing, v.gang,
+                  v.sameRack, v.requiredLabel, v.dataRack, v.maxPerWorker, v.speculative,
+                  v.longRunning, v.image, v.responseTargetMs, v.fillsIdle, v.maxUnavailable)
+BANYANRILL_FIELDS(JobSpec, v.id, v.taskSpec, v.steps, v.repeatCount, v.firstStartMs, v.intervalMs)
+BANYANRILL_FIELDS(AdvicePolicy, v.baseMs, v.perWorkerMs, v.ticketLifeMs)
+BANYANRILL_FIELDS(Queue, v.name, v.host, v.pathPrefix, v.service, v.timeoutMs, v.priority,
+                  v.maxAttempts, v.stretch, v.latencyMs, v.advice)
+BANYANRILL_FIELDS(Configuration, v.version, v.queues, v.services, v.document)
+BANYANRILL_FIELDS(TaskKey, v.job, v.occurrence, v.step, v.index)
+BANYANRILL_FIELDS(StepKey, v.job, v.occurrence, v.step)
+BANYANRILL_FIELDS(RunKey, v.task, v.run)
+BANYANRILL_FIELDS(TaskEnd, v.number, v.run, v.kind, v.checkpoint)
+BANYANRILL_FIELDS(WorkerLife, v.id, v.bornMs)
+BANYANRILL_FIELDS(WorkerProfile, v.life, v.service, v.address, v.dataCentre, v.machine, v.labels,
+                  v.rack, v.capacity, v.draining)
+BANYANRILL_FIELDS(Placement, v.run, v.term, v.formerLife)
+BANYANRILL_FIELDS(Worker, v.profile, v.recordedEnds, v.placements)
+BANYANRILL_FIELDS(Task, v.phase, v.lastRun, v.failures, v.worker, v.checkpoint)
+BANYANRILL_FIELDS(StepProgress, v.tasks, v.succeeded, v.placements, v.lastFailedRun)
+BANYANRILL_FIELDS(Occurrence, v.steps, v.stepsDone)
+BANYANRILL_FIELDS(Job, v.spec, v.queue, v.phase, v.started, v.acceptedMs, v.endedMs, v.opened,
+                  v.finished, v.occurrences)
+BANYANRILL_FIELDS(Wave, v.number, v.waiting, v.durationMs, v.limit, v.acceptedMs)
+BANYANRILL_FIELDS(Member, v.replica, v.address, v.region)
+BANYANRILL_FIELDS(TableState, v.configuration, v.jobs, v.workers, v.waves, v.members, v.lastTimeMs)
+
+BANYANRILL_FIELDS(PutConfiguration, v.configuration)
+BANYANRILL_FIELDS(AcceptJob, v.spec, v.queue)
+BANYANRILL_FIELDS(CancelJob, v.job)
+BANYANRILL_FIELDS(OpenOccurrences, v.job, v.count)
+BANYANRILL_FIELDS(PlacedRun, v.run, v.worker)
+BANYANRILL_FIELDS(PlaceRuns, v.term, v.runs)
+BANYANRILL_FIELDS(RecordEnds, v.worker, v.ends)
+BANYANRILL_FIELDS(ReleasedRun, v.run, v.worker, v.checkpoint)
+BANYANRILL_FIELDS(ReleaseRuns, v.runs)
+BANYANRILL_FIELDS(RegisterWorker, v.profile)
+BANYANRILL_FIELDS(RemoveWorker, v.worker, v.lastSeen)
+BANYANRILL_FIELDS(ForgetJobs, v.jobs)
+BANYANRILL_FIELDS(StartWave, v.wave)
+BANYANRILL_FIELDS(MachineServed, v.wave, v.machine)
+BANYANRILL_FIELDS(NameMember, v.member)
+BANYANRILL_FIELDS(CommandBatch, v.logTimeMs, v.commands)
+
+BANYANRILL_FIELDS(SubmitRequest, v.host, v.path, v.spec)
+BANYANRILL_FIELDS(StateRequest, v.host, v.path)
+BANYANRILL_FIELDS(CancelRequest, v.host, v.path)
+BANYANRILL_FIELDS(ConfigureRequest, v.configuration)
+BANYANRILL_NO_FIELDS(ReadConfigurationRequest)
+BANYANRILL_FIELDS(WorkerReport, v.profile, v.clockMs, v.sequence)
+BANYANRILL_FIELDS(WorkerLeaves, v.worker)
+BANYANRILL_FIELDS(WaveRequest, v.wave)
+BANYANRILL_FIELDS(WaveStateRequest, v.wave)
+BANYANRILL_FIELDS(Reply, v.code, v.message, v.retryAfterMs, v.phase, v.started, v.waiting,
+                  v.document, v.reportTo, v.waveDone)
+BANYANRILL_FIELDS(AdviceAnswer, v.answered, v.good)
+} // namespace jobs
+
+namespace membership {
+BANYANRILL_FIELDS(PeerRecord, v.id, v.address, v.controlAddress, v.dataCentre, v.region, v.hasDisk,
+                  v.stopping)
+BANYANRILL_FIELDS(Greeting, v.sender, v.founding, v.founders)
+BANYANRILL_FIELDS(GreetingReply, v.responder, v.founding, v.founders, v.leader, v.term, v.peers,
+                  v.members)
+} // namespace membership
+
+namespace wire {
+BANYANRILL_FIELDS(ReplicaMessages, v.messages)
+BANYANRILL_FIELDS(ForwardedRequest, v.requestId, v.request, v.minimumTerm)
+BANYANRILL_FIELDS(AskAdvice, v.step, v.workers, v.expectedMs)
+BANYANRILL_NO_FIELDS(Received)
+BANYANRILL_FIELDS(ForwardedReply, v.leads, v.term, v.reply)
+} // namespace wire
+
+#undef BANYANRILL_FIELDS
+#undef BANYANRILL_NO_FIELDS
+
+} // namespace banyanrill
