--- a/packages/jobs/src/AdviceDesk.cpp
+++ b/packages/jobs/src/AdviceDesk.cpp
@@ -25,13 +25,18 @@
   this->advisers = next;
 }
 
+const StepAdvice *AdviceDesk::find(const StepKey &step) const {
+  const auto known = this->steps.find(step);
+  return known == this->steps.end() ? nullptr : &known->second;
+}
+
 const Ticket *AdviceDesk::ticketFor(const StepKey &step, const std::string &worker,
                                     base::TimePoint now) const {
-  const auto known = this->steps.find(step);
-  if (known == this->steps.end())
+  const StepAdvice *advice = this->find(step);
+  if (advice == nullptr)
     return nullptr;
-  const auto found = known->second.good.find(worker);
-  return found != known->second.good.end() && found->second.until > now ? &found->second : nullptr;
+  const auto found = advice->good.find(worker);
+  return found != advice->good.end() && found->second.until > now ? &found->second : nullptr;
 }
 
 AdviceOrder AdviceDesk::ask(OrderId id, const OpenStep &step, std::vector<std::string> workers,
--- a/packages/jobs/src/AdviceDesk.h
+++ b/packages/jobs/src/AdviceDesk.h
@@ -32,6 +32,8 @@
   bool hasFreeAdviser() const { return !this->idle.empty(); }
 
   StepAdvice &of(const StepKey &step) { return this->steps[step]; }
+  /// Null if nothing is known of the step.
+  const StepAdvice *find(const StepKey &step) const;
   const Ticket *ticketFor(const StepKey &step, const std::string &worker,
                           base::TimePoint now) const;
 
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -12,6 +12,9 @@
 /// How often workers without news are looked at for timeouts.
 constexpr base::Duration SweepInterval = std::chrono::milliseconds(100);
 
+/// Placement looks at all open steps; events that come close together share one look.
+constexpr base::Duration PlanInterval = std::chrono::milliseconds(4);
+
 /// Jobs forgotten in one command at most.
 constexpr std::size_t MaxForgotten = 64;
 
@@ -113,6 +116,7 @@
     session.leaseEndsBy =
         leaseEnd(this->now + FormerLeaderTime, this->options.lease, this->options.stopGrace);
   }
+  session.worker = worker;
   session.roomStale = true;
   this->dirtyWorkers.insert(id);
 }
@@ -159,7 +163,7 @@
     if (places == nullptr || places->term != dispatcher.options.term)
       continue;
     for (const PlacedRun &placed : places->runs) {
-      dispatcher.pending.erase(placed.run.task);
+      dispatcher.dropPending(placed.run.task);
       if (const auto session = dispatcher.sessions.find(placed.worker);
           session != dispatcher.sessions.end())
         session->second.roomStale = true;
@@ -235,8 +239,11 @@
   }
   if (!dispatcher.releases.empty())
     dispatcher.actions.emplace_back(Command(ReleaseRuns{std::exchange(dispatcher.releases, {})}));
-  if (std::exchange(dispatcher.planWanted, false))
+  if (dispatcher.planWanted && now >= dispatcher.nextPlan) {
+    dispatcher.planWanted = false;
+    dispatcher.nextPlan = now + PlanInterval;
     dispatcher.plan();
+  }
   return std::exchange(dispatcher.actions, {});
 }
 
@@ -247,7 +254,7 @@
 
 DispatcherFigures Dispatcher::figures() const {
   DispatcherFigures figures = this->state->figures;
-  figures.openSteps = this->state->queue.open().size();
+  figures.openSteps = this->state->queue.size();
   figures.sessions = this->state->sessions.size();
   return figures;
 }
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -45,6 +45,8 @@
   std::unordered_map<OrderId, OrderSubject> orders;
   OrderId lastOrder = 0;
   bool planWanted = true;
+  base::TimePoint nextPlan = base::TimePoint::min();
+  std::map<std::string, base::Resources> pendingRoom; ///< Of proposed runs, by worker.
   std::map<std::string, std::uint64_t> waiting;   ///< Jobs not started, by queue.
   std::map<std::string, std::string> waitingJobs; ///< Job to its queue.
   std::map<std::string, std::int64_t> ended;      ///< Jobs to forget, with the time of their end.
@@ -82,14 +84,19 @@
   void place(const OpenStep &open, PlaceRuns &command);
   void placeGang(const OpenStep &open, PlaceRuns &command);
   std::vector<std::uint32_t> waitingTasks(const OpenStep &open) const;
-  const Worker *chooseWorker(const OpenStep &open, const Task &task,
-                             std::map<std::string, std::uint32_t> &perWorker);
-  void assign(const OpenStep &open, std::uint32_t index, std::uint32_t run, const Worker &worker,
+  /// Workers that may get tasks of the step now, with room for one at least.
+  std::vector<WorkerSession *> candidatesFor(const OpenStep &open);
+  WorkerSession *chooseWorker(const OpenStep &open, const Task &task,
+                              const std::vector<WorkerSession *> &candidates,
+                              std::map<std::string, std::uint32_t> &perWorker);
+  std::optional<double> scoreOf(const OpenStep &open, const Task &task, WorkerSession &session);
+  void assign(const OpenStep &open, std::uint32_t index, std::uint32_t run, WorkerSession &session,
               PlaceRuns &command);
   void considerAdvice(const OpenStep &open);
-  bool isEligible(const OpenStep &open, const Worker &worker, const WorkerSession &session) const;
-  std::uint32_t slotsIn(const OpenStep &open, const Worker &worker, WorkerSession &session);
-  base::Resources freeRoom(const Worker &worker, WorkerSession &session);
+  bool isEligible(const OpenStep &open, const WorkerSession &session) const;
+  std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
+  base::Resources freeRoom(WorkerSession &session);
+  void dropPending(const TaskKey &task);
   std::map<std::string, std::uint32_t> tasksPerWorker(const OpenStep &open) const;
 };
 
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -19,6 +19,9 @@
 /// Fewer names save little: most of a call's time does not depend on them.
 constexpr std::size_t MinAdvised = 16;
 
+/// A step that could not be asked for is looked at again after this time.
+constexpr base::Duration AdviceLookInterval = std::chrono::milliseconds(25);
+
 /// Starts of runs that wait for a free channel, for each worker.
 constexpr std::uint32_t MaxOrdersWaiting = 12;
 
@@ -46,12 +49,12 @@
   return demand;
 }
 
-base::Resources Dispatcher::State::freeRoom(const Worker &worker, WorkerSession &session) {
+base::Resources Dispatcher::State::freeRoom(WorkerSession &session) {
   if (session.roomStale) {
     session.used = {};
     session.fillers = 0;
     session.serving = 0;
-    for (const auto &[task, placement] : worker.placements) {
+    for (const auto &[task, placement] : session.worker->placements) {
       const Job *job = this->table.findJob(task.job);
       if (job == nullptr)
         continue;
@@ -60,25 +63,20 @@
       session.fillers += step.fillsIdle ? 1 : 0;
       session.serving += step.responseTargetMs > 0 ? 1 : 0;
     }
-    for (const auto &[task, run] : this->pending) {
-      if (run.worker != worker.profile.life.id || worker.placements.count(task) != 0)
-        continue;
-      const Job *job = this->table.findJob(task.job);
-      if (job != nullptr)
-        session.used = session.used + demandOf(job->spec.steps[task.step]);
-    }
     session.roomStale = false;
   }
-  return worker.profile.capacity - session.used;
+  const base::Resources room = session.worker->profile.capacity - session.used;
+  const auto proposed = this->pendingRoom.find(session.life.id);
+  return proposed == this->pendingRoom.end() ? room : room - proposed->second;
 }
 
-bool Dispatcher::State::isEligible(const OpenStep &open, const Worker &worker,
-                                   const WorkerSession &session) const {
+bool Dispatcher::State::isEligible(const OpenStep &open, const WorkerSession &session) const {
   const Step &step = *open.step;
-  if (worker.profile.service != open.job->queue.service || worker.profile.draining ||
-      session.leaving || !session.contacted || session.holdLost || !session.clock)
+  const WorkerProfile &profile = session.worker->profile;
+  if (profile.service != open.job->queue.service || profile.draining || session.leaving ||
+      !session.contacted || session.holdLost || !session.clock)
     return false;
-  if (!step.requiredLabel.empty() && !hasLabel(worker.profile, step.requiredLabel))
+  if (!step.requiredLabel.empty() && !hasLabel(profile, step.requiredLabel))
     return false;
   // Work that fills idle processors disturbs tasks with a response target.
   if ((step.fillsIdle && session.serving > 0) || (step.responseTargetMs > 0 && session.fillers > 0))
@@ -113,43 +111,80 @@
   return waitingIndices;
 }
 
-const Worker *Dispatcher::State::chooseWorker(const OpenStep &open, const Task &task,
-                                              std::map<std::string, std::uint32_t> &perWorker) {
+std::vector<WorkerSession *> Dispatcher::State::candidatesFor(const OpenStep &open) {
+  std::vector<WorkerSession *> candidates;
   const base::Resources demand = demandOf(*open.step);
-  const Worker *best = nullptr;
+  const auto consider = [&](WorkerSession &session) {
+    if (this->isEligible(open, session) && demand.fitsIn(this->freeRoom(session)))
+      candidates.push_back(&session);
+  };
+  if (!open.job->queue.advice) {
+    for (auto &[id, session] : this->sessions)
+      consider(session);
+    return candidates;
+  }
+  const StepAdvice *advice = this->desk.find(open.key);
+  if (advice == nullptr)
+    return candidates;
+  for (const auto &[id, ticket] : advice->good) {
+    const auto session = this->sessions.find(id);
+    if (ticket.until > this->now && session != this->sessions.end())
+      consider(session->second);
+  }
+  return candidates;
+}
+
+std::optional<double> Dispatcher::State::scoreOf(const OpenStep &open, const Task &task,
+                                                 WorkerSession &session) {
+  const base::Resources demand = demandOf(*open.step);
+  const base::Resources room = this->freeRoom(session);
+  if (!demand.fitsIn(room))
+    return std::nullopt;
+  const WorkerProfile &profile = session.worker->profile;
+  // The fullest worker that has room, so that large tasks find room elsewhere.
+  const auto left = static_cast<double>(room.millicores - demand.millicores);
+  double score =
+      1.0 - left / static_cast<double>(std::max<std::int64_t>(profile.capacity.millicores, 1));
+  if (!open.step->dataRack.empty() && profile.rack == open.step->dataRack)
+    score += 2;
+  // A task that failed there may have failed because of the worker.
+  if (task.failures > 0 && task.worker == session.life.id)
+    score -= 4;
+  return score;
+}
+
+WorkerSession *Dispatcher::State::chooseWorker(const OpenStep &open, const Task &task,
+                                               const std::vector<WorkerSession *> &candidates,
+                                               std::map<std::string, std::uint32_t> &perWorker) {
+  WorkerSession *best = nullptr;
   double bestScore = 0;
-  for (auto &[id, session] : this->sessions) {
-    const Worker *worker = this->table.findWorker(id);
-    if (worker == nullptr || !this->isEligible(open, *worker, session))
-      continue;
-    if (open.job->queue.advice && this->desk.ticketFor(open.key, id, this->now) == nullptr)
+  for (WorkerSession *session : candidates) {
+    if (open.step->maxPerWorker > 0 && perWorker[session->life.id] >= open.step->maxPerWorker)
       continue;
-    if (open.step->maxPerWorker > 0 && perWorker[id] >= open.step->maxPerWorker)
+    const std::optional<double> score = this->scoreOf(open, task, *session);
+    if (!score || (best != nullptr && *score <= bestScore))
       continue;
-    const base::Resources room = this->freeRoom(*worker, session);
-    if (!demand.fitsIn(room))
-      continue;
-    // The fullest worker that has room, so that large tasks find room elsewhere.
-    const auto left = static_cast<double>(room.millicores - demand.millicores);
-    double score = 1.0 - left / static_cast<double>(
-                                    std::max<std::int64_t>(worker->profile.capacity.millicores, 1));
-    if (!open.step->dataRack.empty() && worker->profile.rack == open.step->dataRack)
-      score += 2;
-    // A task that failed there may have failed because of the worker.
-    if (task.failures > 0 && task.worker == id)
-      score -= 4;
-    if (best == nullptr || score > bestScore) {
-      best = worker;
-      bestScore = score;
-    }
+    best = session;
+    bestScore = *score;
   }
   return best;
 }
 
+void Dispatcher::State::dropPending(const TaskKey &task) {
+  const auto found = this->pending.find(task);
+  if (found == this->pending.end())
+    return;
+  const Job *job = this->table.findJob(task.job);
+  base::Resources &room = this->pendingRoom[found->second.worker];
+  if (job != nullptr)
+    room = room - demandOf(job->spec.steps[task.step]);
+  this->pending.erase(found);
+}
+
 void Dispatcher::State::assign(const OpenStep &open, std::uint32_t index, std::uint32_t run,
-                               const Worker &worker, PlaceRuns &command) {
+                               WorkerSession &session, PlaceRuns &command) {
   const TaskKey key{open.key.job, open.key.occurrence, open.key.step, index};
-  const std::string &id = worker.profile.life.id;
+  const std::string &id = session.life.id;
   PendingRun &pendingRun = this->pending[key];
   pendingRun.worker = id;
   pendingRun.run = run;
@@ -157,30 +192,34 @@
     pendingRun.ticket = ticket->value;
     pendingRun.ticketUntil = ticket->until;
   }
-  WorkerSession &session = this->sessions.at(id);
-  session.used = session.used + demandOf(*open.step);
+  base::Resources &room = this->pendingRoom[id];
+  room = room + demandOf(*open.step);
   session.fillers += open.step->fillsIdle ? 1 : 0;
   session.serving += open.step->responseTargetMs > 0 ? 1 : 0;
   command.runs.push_back({{key, run}, id});
 }
 
 void Dispatcher::State::place(const OpenStep &open, PlaceRuns &command) {
+  const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
+  if (candidates.empty())
+    return;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   for (const std::uint32_t index : this->waitingTasks(open)) {
     if (command.runs.size() >= MaxRunsPerCommand)
       return;
     const Task &task = open.progress->tasks[index];
-    const Worker *worker = this->chooseWorker(open, task, perWorker);
-    if (worker == nullptr)
+    WorkerSession *session = this->chooseWorker(open, task, candidates, perWorker);
+    if (session == nullptr)
       return; // All tasks of a step are alike, so the others do not fit either.
-    ++perWorker[worker->profile.life.id];
-    this->assign(open, index, task.lastRun + 1, *worker, command);
+    ++perWorker[session->life.id];
+    this->assign(open, index, task.lastRun + 1, *session, command);
   }
 }
 
 void Dispatcher::State::placeGang(const OpenStep &open, PlaceRuns &command) {
   const std::vector<std::uint32_t> members = this->waitingTasks(open);
-  if (members.size() != open.progress->tasks.size())
+  const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
+  if (members.size() != open.progress->tasks.size() || candidates.empty())
     return;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   std::uint32_t run = 0;
@@ -188,11 +227,12 @@
     run = std::max(run, task.lastRun + 1);
   const std::size_t before = command.runs.size();
   for (const std::uint32_t index : members) {
-    const Worker *worker = this->chooseWorker(open, open.progress->tasks[index], perWorker);
-    if (worker == nullptr)
+    WorkerSession *session =
+        this->chooseWorker(open, open.progress->tasks[index], candidates, perWorker);
+    if (session == nullptr)
       break;
-    ++perWorker[worker->profile.life.id];
-    this->assign(open, index, run, *worker, command);
+    ++perWorker[session->life.id];
+    this->assign(open, index, run, *session, command);
   }
   if (command.runs.size() - before == members.size())
     return;
@@ -200,14 +240,13 @@
   while (command.runs.size() > before) {
     const PlacedRun &placed = command.runs.back();
     this->sessions.at(placed.worker).roomStale = true;
-    this->pending.erase(placed.run.task);
+    this->dropPending(placed.run.task);
     command.runs.pop_back();
   }
 }
 
-std::uint32_t Dispatcher::State::slotsIn(const OpenStep &open, const Worker &worker,
-                                         WorkerSession &session) {
-  std::uint32_t slots = slotsFor(this->freeRoom(worker, session), demandOf(*open.step));
+std::uint32_t Dispatcher::State::slotsIn(const OpenStep &open, WorkerSession &session) {
+  std::uint32_t slots = slotsFor(this->freeRoom(session), demandOf(*open.step));
   if (open.step->maxPerWorker > 0)
     slots = std::min(slots, open.step->maxPerWorker);
   return slots;
@@ -215,34 +254,42 @@
 
 void Dispatcher::State::considerAdvice(const OpenStep &open) {
   StepAdvice &advice = this->desk.of(open.key);
+  if (advice.asking || this->now < advice.askAgain)
+    return;
   const auto needed = static_cast<std::uint32_t>(this->waitingTasks(open).size());
-  if (advice.asking || this->now < advice.askAgain || needed == 0)
+  if (needed == 0)
     return;
+  advice.askAgain = this->now + AdviceLookInterval;
   struct Candidate {
-    std::string worker;
+    const std::string *worker;
     std::uint32_t slots;
     bool known;
   };
   std::vector<Candidate> candidates;
   std::uint32_t total = 0;
   for (auto &[id, session] : this->sessions) {
-    const Worker *worker = this->table.findWorker(id);
-    if (worker == nullptr || advice.bad.count(id) != 0 || !this->isEligible(open, *worker, session))
+    if (!this->isEligible(open, session) || advice.bad.count(id) != 0)
       continue;
-    const std::uint32_t slots = std::min(needed, this->slotsIn(open, *worker, session));
+    const std::uint32_t slots = std::min(needed, this->slotsIn(open, session));
     if (slots == 0)
       continue;
-    candidates.push_back({id, slots, advice.good.count(id) != 0});
+    candidates.push_back({&id, slots, advice.good.count(id) != 0});
     total += slots;
   }
   if (candidates.empty() || (open.step->gang && total < needed))
     return;
-  std::sort(
-      candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        if (left.known != right.known)
-          return left.known;
-        return left.slots != right.slots ? left.slots > right.slots : left.worker < right.worker;
-      });
+  // Known good workers first, then a different choice for each step, so that steps that are asked
+  // for at the same time do not all hope for the same room.
+  const std::size_t salt = std::hash<std::string>{}(open.key.job);
+  std::sort(candidates.begin(), candidates.end(),
+            [salt](const Candidate &left, const Candidate &right) {
+              if (left.known != right.known)
+                return left.known;
+              if (left.slots != right.slots)
+                return left.slots > right.slots;
+              const std::hash<std::string> hash;
+              return (hash(*left.worker) ^ salt) < (hash(*right.worker) ^ salt);
+            });
   std::vector<std::string> workers;
   std::size_t named = 0;
   std::size_t surely = 0;
@@ -250,25 +297,24 @@
     if (workers.size() >= MaxAdvised || surely >= needed ||
         (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
       break;
-    workers.push_back(candidate.worker);
+    workers.push_back(*candidate.worker);
     named += candidate.slots;
     surely += candidate.known ? candidate.slots : 0;
   }
   ++this->figures.adviceCalls;
-  this->actions.emplace_back(
-      this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
+  this->actions.emplace_back(this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
 }
 
 void Dispatcher::State::plan() {
   PlaceRuns command;
   command.term = this->options.term;
-  for (const OpenStep &open : this->queue.ordered(this->now)) {
-    if (open.step->gang)
-      this->placeGang(open, command);
+  for (const OpenStep *open : this->queue.ordered(this->now)) {
+    if (open->step->gang)
+      this->placeGang(*open, command);
     else
-      this->place(open, command);
-    if (open.job->queue.advice && this->desk.hasFreeAdviser())
-      this->considerAdvice(open);
+      this->place(*open, command);
+    if (open->job->queue.advice && this->desk.hasFreeAdviser())
+      this->considerAdvice(*open);
   }
   if (!command.runs.empty())
     this->actions.emplace_back(Command(std::move(command)));
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -17,15 +17,17 @@
          job.queue.latencyMs;
 }
 
-bool hasWork(const Job &job, const Occurrence &occurrence, std::uint32_t index) {
+/// Tasks that may be placed now.
+std::uint32_t countWork(const Job &job, const Occurrence &occurrence, std::uint32_t index) {
   const StepProgress &progress = occurrence.steps[index];
   if (!Table::isReady(job, occurrence, index))
-    return false;
+    return 0;
   // The members of a gang start together, so the last run must be gone entirely.
   if (job.spec.steps[index].gang && progress.placements > 0)
-    return false;
-  return std::any_of(progress.tasks.begin(), progress.tasks.end(),
-                     [](const Task &task) { return task.phase == TaskPhase::Waiting; });
+    return 0;
+  return static_cast<std::uint32_t>(
+      std::count_if(progress.tasks.begin(), progress.tasks.end(),
+                    [](const Task &task) { return task.phase == TaskPhase::Waiting; }));
 }
 
 } // namespace
@@ -62,13 +64,17 @@
   this->acceptedAt.try_emplace(id, now - milliseconds(ageMs));
   for (const auto &[number, occurrence] : job->occurrences) {
     for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
-      if (hasWork(*job, occurrence, index))
-        this->steps.insert({id, number, index});
+      const std::uint32_t waiting = countWork(*job, occurrence, index);
+      if (waiting == 0)
+        continue;
+      OpenStep open = this->describe({id, number, index}, *job);
+      open.waiting = waiting;
+      this->steps.emplace(open.key, std::move(open));
     }
   }
 }
 
-OpenStep StepQueue::describe(const StepKey &key, const Job &job, base::TimePoint now) const {
+OpenStep StepQueue::describe(const StepKey &key, const Job &job) const {
   OpenStep open;
   open.key = key;
   open.job = &job;
@@ -76,32 +82,32 @@
   open.progress = &job.occurrences.at(key.occurrence).steps[key.step];
   base::TimePoint due = this->acceptedAt.at(key.job);
   if (job.spec.repeatCount > 0)
-    due +=
-        milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
+    due += milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence -
+                        job.acceptedMs);
   const std::int64_t aim = aimOf(job);
   const base::Duration chain = milliseconds(chainFrom(job.spec, key.step));
   open.latestStart = due + milliseconds(aim) - chain;
-  if (open.step->longRunning)
-    return open;
-  if (now > due + milliseconds(aim * WorthlessFactor) - chain)
-    open.tier = 2;
-  else if (now > open.latestStart)
-    open.tier = 1;
+  open.worthlessAfter = due + milliseconds(aim * WorthlessFactor) - chain;
+  if (open.step->longRunning) {
+    // What lasts earns as long as it runs, so it is never late.
+    open.latestStart = due + milliseconds(aim);
+    open.worthlessAfter = base::TimePoint::max();
+  }
   return open;
 }
 
-std::vector<OpenStep> StepQueue::ordered(base::TimePoint now) const {
-  std::vector<OpenStep> result;
+std::vector<const OpenStep *> StepQueue::ordered(base::TimePoint now) const {
+  std::vector<const OpenStep *> result;
   result.reserve(this->steps.size());
-  for (const StepKey &key : this->steps) {
-    if (const Job *job = this->table.findJob(key.job))
-      result.push_back(this->describe(key, *job, now));
-  }
-  std::sort(result.begin(), result.end(), [](const OpenStep &left, const OpenStep &right) {
-    if (left.tier != right.tier)
-      return left.tier < right.tier;
-    return left.latestStart != right.latestStart ? left.latestStart < right.latestStart
-                                                 : left.key < right.key;
+  for (const auto &[key, open] : this->steps)
+    result.push_back(&open);
+  std::sort(result.begin(), result.end(), [now](const OpenStep *left, const OpenStep *right) {
+    const std::uint32_t leftTier = left->tierAt(now);
+    const std::uint32_t rightTier = right->tierAt(now);
+    if (leftTier != rightTier)
+      return leftTier < rightTier;
+    return left->latestStart != right->latestStart ? left->latestStart < right->latestStart
+                                                   : left->key < right->key;
   });
   return result;
 }
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -15,8 +15,14 @@
   const Job *job = nullptr;
   const Step *step = nullptr;
   const StepProgress *progress = nullptr;
-  base::TimePoint latestStart; ///< After this the job misses its aim.
-  std::uint32_t tier = 0;      ///< 0: can still meet its aim; 1: late; 2: worth nothing any more.
+  base::TimePoint latestStart;    ///< After this the job misses its aim.
+  base::TimePoint worthlessAfter; ///< After this its end is worth nothing any more.
+  std::uint32_t waiting = 0;      ///< Tasks that are not placed.
+
+  /// 0: can still meet its aim; 1: late; 2: worth nothing any more.
+  std::uint32_t tierAt(base::TimePoint now) const {
+    return (now > this->latestStart ? 1U : 0U) + (now > this->worthlessAfter ? 1U : 0U);
+  }
 };
 
 /// Not thread-safe. Pointers in its results are valid until the table changes.
@@ -28,15 +34,15 @@
   void refresh(const std::string &job, base::TimePoint now, std::int64_t wallClockMs);
 
   /// Open steps, the most urgent first.
-  std::vector<OpenStep> ordered(base::TimePoint now) const;
+  std::vector<const OpenStep *> ordered(base::TimePoint now) const;
 
-  const std::set<StepKey> &open() const { return this->steps; }
+  std::size_t size() const { return this->steps.size(); }
 
 private:
-  OpenStep describe(const StepKey &key, const Job &job, base::TimePoint now) const;
+  OpenStep describe(const StepKey &key, const Job &job) const;
 
   const Table &table;
-  std::set<StepKey> steps;
+  std::map<StepKey, OpenStep> steps;
   std::map<std::string, base::TimePoint> acceptedAt; ///< On this machine's steady clock.
 };
 
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -48,6 +48,7 @@
 
 struct WorkerSession {
   WorkerLife life;
+  const Worker *worker = nullptr; ///< In the table, as long as the session lives.
   bool contacted = false; ///< Has answered under this leader's fence.
   bool leaving = false;   ///< Has said that it ends now.
   std::optional<ClockReading> clock;
