Choose the workers to ask about with less work

Cause: sorting all workers by a hash for every open step took most of the leader's time. Change: a partial sort over those with room; proposed runs are summed in the session.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -109,6 +109,7 @@
     if (!isNew)
       this->desk.forgetWorker(id);
     session = WorkerSession();
+    session.proposed = this->proposedOn(id);
     session.life = worker->profile.life;
     session.lastAnswer = this->now;
     // An earlier leader may have renewed the lease until it noticed that it no longer leads.
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -46,7 +46,6 @@
   OrderId lastOrder = 0;
   bool planWanted = true;
   base::TimePoint nextPlan = base::TimePoint::min();
-  std::map<std::string, base::Resources> pendingRoom; ///< Of proposed runs, by worker.
   std::map<std::string, std::uint64_t> waiting;   ///< Jobs not started, by queue.
   std::map<std::string, std::string> waitingJobs; ///< Job to its queue.
   std::map<std::string, std::int64_t> ended;      ///< Jobs to forget, with the time of their end.
@@ -97,6 +96,7 @@
   std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
   base::Resources freeRoom(WorkerSession &session);
   void dropPending(const TaskKey &task);
+  base::Resources proposedOn(const std::string &worker) const;
   std::map<std::string, std::uint32_t> tasksPerWorker(const OpenStep &open) const;
 };
 
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -65,9 +65,17 @@
     }
     session.roomStale = false;
   }
-  const base::Resources room = session.worker->profile.capacity - session.used;
-  const auto proposed = this->pendingRoom.find(session.life.id);
-  return proposed == this->pendingRoom.end() ? room : room - proposed->second;
+  return session.worker->profile.capacity - session.used - session.proposed;
+}
+
+base::Resources Dispatcher::State::proposedOn(const std::string &worker) const {
+  base::Resources sum;
+  for (const auto &[task, run] : this->pending) {
+    const Job *job = run.worker == worker ? this->table.findJob(task.job) : nullptr;
+    if (job != nullptr)
+      sum = sum + demandOf(job->spec.steps[task.step]);
+  }
+  return sum;
 }
 
 bool Dispatcher::State::isEligible(const OpenStep &open, const WorkerSession &session) const {
@@ -175,9 +183,9 @@
   if (found == this->pending.end())
     return;
   const Job *job = this->table.findJob(task.job);
-  base::Resources &room = this->pendingRoom[found->second.worker];
-  if (job != nullptr)
-    room = room - demandOf(job->spec.steps[task.step]);
+  const auto session = this->sessions.find(found->second.worker);
+  if (job != nullptr && session != this->sessions.end())
+    session->second.proposed = session->second.proposed - demandOf(job->spec.steps[task.step]);
   this->pending.erase(found);
 }
 
@@ -192,8 +200,7 @@
     pendingRun.ticket = ticket->value;
     pendingRun.ticketUntil = ticket->until;
   }
-  base::Resources &room = this->pendingRoom[id];
-  room = room + demandOf(*open.step);
+  session.proposed = session.proposed + demandOf(*open.step);
   session.fillers += open.step->fillsIdle ? 1 : 0;
   session.serving += open.step->responseTargetMs > 0 ? 1 : 0;
   command.runs.push_back({{key, run}, id});
@@ -264,37 +271,35 @@
     const std::string *worker;
     std::uint32_t slots;
     bool known;
+    std::uint64_t order; ///< Random, so that steps asked for at the same time hope for other room.
   };
   std::vector<Candidate> candidates;
   std::uint32_t total = 0;
+  const base::Resources demand = demandOf(*open.step);
   for (auto &[id, session] : this->sessions) {
-    if (!this->isEligible(open, session) || advice.bad.count(id) != 0)
+    if (!demand.fitsIn(this->freeRoom(session)) || !this->isEligible(open, session) ||
+        advice.bad.count(id) != 0)
       continue;
     const std::uint32_t slots = std::min(needed, this->slotsIn(open, session));
-    if (slots == 0)
-      continue;
-    candidates.push_back({&id, slots, advice.good.count(id) != 0});
+    candidates.push_back({&id, slots, advice.good.count(id) != 0, this->random.next()});
     total += slots;
   }
   if (candidates.empty() || (open.step->gang && total < needed))
     return;
-  // Known good workers first, then a different choice for each step, so that steps that are asked
-  // for at the same time do not all hope for the same room.
-  const std::size_t salt = std::hash<std::string>{}(open.key.job);
-  std::sort(candidates.begin(), candidates.end(),
-            [salt](const Candidate &left, const Candidate &right) {
-              if (left.known != right.known)
-                return left.known;
-              if (left.slots != right.slots)
-                return left.slots > right.slots;
-              const std::hash<std::string> hash;
-              return (hash(*left.worker) ^ salt) < (hash(*right.worker) ^ salt);
-            });
+  const std::size_t kept = std::min(candidates.size(), MaxAdvised);
+  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept),
+                    candidates.end(), [](const Candidate &left, const Candidate &right) {
+                      if (left.known != right.known)
+                        return left.known;
+                      return left.slots != right.slots ? left.slots > right.slots
+                                                       : left.order < right.order;
+                    });
+  candidates.resize(kept);
   std::vector<std::string> workers;
   std::size_t named = 0;
   std::size_t surely = 0;
   for (const Candidate &candidate : candidates) {
-    if (workers.size() >= MaxAdvised || surely >= needed ||
+    if (surely >= needed ||
         (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
       break;
     workers.push_back(*candidate.worker);
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -42,6 +42,7 @@
   bool allEnded() const;
   std::int64_t now() const { return this->nowMs; }
   const Table &jobTable() const { return this->table; }
+  DispatcherFigures figures() const { return this->dispatcher->figures(); }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
   base::RandomSource &random() { return this->source; }
 
