Give orders through relays when there are many workers

Change: a leader of more than 128 workers hands orders to the other nodes with a disk in batches and gets the answers in batches; lost ones expire as unanswered. Unchanged worker reports are acknowledged where they arrive.

--- a/packages/jobs/include/banyanrill/jobs/Orders.h
+++ b/packages/jobs/include/banyanrill/jobs/Orders.h
@@ -28,12 +28,16 @@
   std::int64_t leaseUntilMs = 0; ///< On the worker's clock.
   std::string checkpoint;
   std::string ticket;
+
+  bool operator==(const StartOrder &) const = default;
 };
 
 struct StopOrder {
   OrderId id = 0;
   OrderTarget target;
   RunKey run;
+
+  bool operator==(const StopOrder &) const = default;
 };
 
 /// Renews the lease of everything on a worker and asks what runs and what has ended there.
@@ -43,6 +47,8 @@
   std::optional<std::int64_t> leaseUntilMs; ///< On the worker's clock.
   std::uint64_t recordedEnds = 0;
   std::int64_t waitMs = 0; ///< The answer waits this long for an end.
+
+  bool operator==(const HoldOrder &) const = default;
 };
 
 /// Limits the share of its processors that a running task may use.
@@ -51,6 +57,8 @@
   OrderTarget target;
   RunKey run;
   std::uint32_t percent = 100;
+
+  bool operator==(const PaceOrder &) const = default;
 };
 
 /// Asks, through one daemon, which of these workers may run a step.
@@ -82,6 +90,8 @@
 struct OrderAnswer {
   OrderOutcome outcome = OrderOutcome::NoAnswer;
   std::optional<std::int64_t> clockMs; ///< The worker's steady clock.
+
+  bool operator==(const OrderAnswer &) const = default;
 };
 
 struct RunningTask {
@@ -90,6 +100,8 @@
   std::uint32_t percent = 0;
   std::int64_t load =
       0; ///< Tail of response times in ms if the task serves, else millicores in use.
+
+  bool operator==(const RunningTask &) const = default;
 };
 
 struct HoldAnswer {
@@ -98,6 +110,8 @@
   std::optional<std::int64_t> bornMs;
   std::vector<RunningTask> running;
   std::vector<TaskEnd> ended;
+
+  bool operator==(const HoldAnswer &) const = default;
 };
 
 /// Workers that may run the step, each with the ticket that a start must carry.
@@ -108,6 +122,10 @@
   bool operator==(const AdviceAnswer &) const = default;
 };
 
+/// What a worker is told, and what it says.
+using WorkerOrder = std::variant<StartOrder, StopOrder, HoldOrder, PaceOrder>;
+using WorkerAnswer = std::variant<OrderAnswer, HoldAnswer>;
+
 using Action = std::variant<StartOrder, StopOrder, HoldOrder, PaceOrder, AdviceOrder, Command>;
 
 } // namespace banyanrill::jobs
--- a/packages/node/src/Leading.cpp
+++ b/packages/node/src/Leading.cpp
@@ -137,18 +137,17 @@
 }
 
 void Node::State::answerTyped(const jobs::WorkerReport &request, ReplyTo reply) {
-  jobs::Reply accepted;
-  accepted.reportTo = this->roster->self().controlAddress;
+  const jobs::Reply accepted;
   const jobs::Worker *worker = this->group->table().findWorker(request.profile.life.id);
   if (worker != nullptr && worker->profile == request.profile) {
     if (this->dispatcher)
       this->dispatcher->onReport(request, this->now);
-    reply(std::move(accepted));
+    reply(accepted);
     return;
   }
   this->group->propose(
       jobs::RegisterWorker{request.profile},
-      [this, request, accepted = std::move(accepted), reply = std::move(reply)](ProposalFate fate) {
+      [this, request, accepted, reply = std::move(reply)](ProposalFate fate) {
         if (fate != ProposalFate::Applied) {
           reply(inDoubt());
           return;
@@ -210,6 +209,8 @@
 
 void Node::State::onLostLeadership() {
   this->dispatcher.reset();
+  this->relays.clear();
+  this->relayed.clear();
   this->roster->doubtLeader(this->roster->self().id);
   base::logEvent(base::Event::LostLeadership, {{"term", std::to_string(this->group->term())}});
 }
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -23,6 +23,9 @@
 /// Operators send configurations with thousands of queues.
 constexpr std::size_t MaxBodyBytes = std::size_t(4) * 1024 * 1024;
 
+/// Orders and answers that come within this time share one exchange with a relay.
+constexpr base::Duration RelayInterval = std::chrono::milliseconds(15);
+
 /// A gap between the clocks of this size is a suspension and not the scheduler.
 constexpr std::int64_t SuspensionMs = 200;
 
@@ -181,6 +184,22 @@
     this->followGroup();
   }
   this->sendReplicaMessages();
+  this->relay();
+}
+
+void Node::State::relay() {
+  const bool waiting = !this->answers.answers.answers.empty() ||
+                       std::any_of(this->relays.begin(), this->relays.end(), [](const auto &entry) {
+                         return !entry.second.orders.empty();
+                       });
+  if (!waiting)
+    return;
+  if (this->now >= this->nextRelay) {
+    this->nextRelay = this->now + RelayInterval;
+    this->sendRelayed();
+    this->sendAnswers();
+  }
+  this->loop->wakeAt(std::min(this->nextWake, this->nextRelay));
 }
 
 void Node::State::noticeSuspension() {
@@ -197,6 +216,11 @@
 
 void Node::State::onWake() {
   this->now = base::steadyNow();
+  if (this->now < this->nextWake) {
+    this->relay();
+    this->loop->wakeAt(this->nextWake);
+    return;
+  }
   this->noticeSuspension();
   if (this->group) {
     this->group->tick(this->now);
@@ -219,11 +243,13 @@
   }
   this->greet();
   this->retryOpen();
+  this->expireRelayed();
   if (this->draining)
     this->drained = this->open.empty() && this->loop->openExchanges() == 0;
   this->scheduleWork();
   base::flushEventLog();
-  this->loop->wakeAt(this->now + (this->group ? MemberTick : PlainTick));
+  this->nextWake = this->now + (this->group ? MemberTick : PlainTick);
+  this->loop->wakeAt(this->nextWake);
 }
 
 Node::Node(std::unique_ptr<State> owned) : state(std::move(owned)) {}
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -28,6 +28,33 @@
   std::uint32_t attempts = 0;
 };
 
+/// Orders that wait to be passed to one relay.
+struct RelayQueue {
+  std::vector<jobs::WorkerOrder> orders;
+  std::uint32_t sending = 0; ///< Calls under way.
+};
+
+/// Answers that wait to be passed back to the leader.
+struct AnswerQueue {
+  std::string address;
+  wire::RelayedAnswers answers;
+  std::uint32_t sending = 0;
+};
+
+/// An order that a relay gives; its answer may be lost on the way.
+struct RelayedOrder {
+  bool isHold = false;
+  bool isStart = false;
+  base::TimePoint expires;
+};
+
+/// A report that the leader has taken note of, so that an equal one needs no forwarding.
+struct KnownReport {
+  jobs::WorkerProfile profile;
+  base::TimePoint forwarded;
+  std::uint64_t term = 0;
+};
+
 struct NodeFigures {
   std::map<std::string, std::uint64_t> replies; ///< By "request/code".
   std::uint64_t forwarded = 0;
@@ -55,10 +82,16 @@
   std::uint64_t seenTerm = 0; ///< Highest term of a leader that answered.
   std::map<base::DaemonId, std::vector<consensus::Message>> outbox;
   std::map<base::DaemonId, std::uint32_t> sending; ///< Calls with replica messages under way.
+  std::map<base::DaemonId, RelayQueue> relays; ///< While this node leads.
+  std::unordered_map<jobs::OrderId, RelayedOrder> relayed;
+  AnswerQueue answers; ///< For the leader that this node relays for.
+  base::TimePoint nextRelay = base::TimePoint::min();
+  std::unordered_map<std::string, KnownReport> reports; ///< By worker.
   bool workScheduled = false;
   bool draining = false;
   std::atomic<bool> drained = false;
   base::TimePoint lastContact = base::TimePoint::min(); ///< With a leader.
+  base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextSteward = base::TimePoint::min();
   std::int64_t sleptMs = 0; ///< Time that the machine was suspended, so far.
   NodeFigures figures;
@@ -70,6 +103,7 @@
   void scheduleWork();
   void work();
   void onWake();
+  void relay();
   void noticeSuspension();
   static std::int64_t wallClockMs();
 
@@ -79,6 +113,8 @@
   void forward(OpenRequest &request, const membership::KnownLeader &leader);
   void finish(std::uint64_t id, jobs::Reply reply);
   void retryOpen();
+  bool isKnownReport(const jobs::Request &request) const;
+  void noteReport(const jobs::Request &request, const jobs::Reply &reply);
   bool isReady() const;
   std::string metricsText() const;
 
@@ -101,12 +137,17 @@
 
   // Orders to workers and to the advisory service.
   void carryOut(jobs::Action action);
-  void carryOutTyped(const jobs::StartOrder &order);
-  void carryOutTyped(const jobs::StopOrder &order);
-  void carryOutTyped(const jobs::PaceOrder &order);
-  void carryOutTyped(const jobs::HoldOrder &order);
+  template <typename Order> void carryOutTyped(const Order &order) { this->orderWorker(order); }
   void carryOutTyped(const jobs::AdviceOrder &order);
   void carryOutTyped(const jobs::Command &command);
+  /// Gives an order to its worker, and reports what it answered.
+  void giveOrder(const jobs::WorkerOrder &order, std::function<void(jobs::WorkerAnswer)> done);
+  void orderWorker(jobs::WorkerOrder order);
+  void onWorkerAnswer(jobs::OrderId id, bool isStart, const jobs::WorkerAnswer &answer);
+  base::DaemonId relayFor(const std::string &worker) const;
+  void sendRelayed();
+  void sendAnswers();
+  void expireRelayed();
   void askAdvice(const wire::AskAdvice &ask, std::function<void(jobs::AdviceAnswer)> done);
   void updateAdvisers();
 
@@ -116,6 +157,8 @@
   void answerPeer(http::ExchangeId exchange, const wire::ReplicaMessages &messages);
   void answerPeer(http::ExchangeId exchange, const wire::ForwardedRequest &forwarded);
   void answerPeer(http::ExchangeId exchange, const wire::AskAdvice &ask);
+  void answerPeer(http::ExchangeId exchange, const wire::RelayedOrders &relayedOrders);
+  void answerPeer(http::ExchangeId exchange, const wire::RelayedAnswers &relayedAnswers);
   void respondPeer(http::ExchangeId exchange, const wire::PeerReply &reply);
   void callPeer(const std::string &address, const wire::PeerRequest &request,
                 base::Duration timeout,
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -29,6 +29,12 @@
 /// Without a leader's answer for this long, new callers are better served elsewhere.
 constexpr base::Duration ContactLife = std::chrono::milliseconds(2500);
 
+/// An unchanged report is forwarded again after this time, in case the leader has removed the worker.
+constexpr base::Duration ReportLife = std::chrono::milliseconds(4000);
+
+/// Workers whose reports one node remembers.
+constexpr std::size_t MaxReports = 2048;
+
 bool changesNothing(const jobs::Request &request) {
   return std::holds_alternative<jobs::StateRequest>(request) ||
          std::holds_alternative<jobs::ReadConfigurationRequest>(request) ||
@@ -65,10 +71,35 @@
   this->advance(id);
 }
 
+bool Node::State::isKnownReport(const jobs::Request &request) const {
+  const auto *report = std::get_if<jobs::WorkerReport>(&request);
+  if (report == nullptr || !this->roster->leader())
+    return false;
+  const auto known = this->reports.find(report->profile.life.id);
+  return known != this->reports.end() && known->second.term == this->seenTerm &&
+         this->now - known->second.forwarded < ReportLife &&
+         known->second.profile == report->profile;
+}
+
+void Node::State::noteReport(const jobs::Request &request, const jobs::Reply &reply) {
+  const auto *report = std::get_if<jobs::WorkerReport>(&request);
+  if (report == nullptr || reply.code != jobs::ReplyCode::Done)
+    return;
+  if (this->reports.size() >= MaxReports)
+    this->reports.clear();
+  this->reports[report->profile.life.id] = {report->profile, this->now, this->seenTerm};
+}
+
 void Node::State::advance(std::uint64_t id) {
   OpenRequest &request = this->open.at(id);
   if (request.underWay)
     return;
+  if (this->isKnownReport(request.request)) {
+    jobs::Reply known;
+    known.reportTo = this->roster->self().controlAddress;
+    this->finish(id, std::move(known));
+    return;
+  }
   if (this->group && this->group->leads()) {
     request.underWay = true;
     ++request.attempts;
@@ -78,6 +109,8 @@
         return;
       found->second.underWay = false;
       if (reply.code != jobs::ReplyCode::InDoubt) {
+        this->noteReport(found->second.request, reply);
+        reply.reportTo = this->roster->self().controlAddress;
         this->finish(id, std::move(reply));
         return;
       }
@@ -116,6 +149,9 @@
         const bool decided = forwarded != nullptr && forwarded->leads &&
                              forwarded->reply.code != jobs::ReplyCode::InDoubt;
         if (decided) {
+          this->noteReport(open.request, forwarded->reply);
+          // The next report comes here, where it is known.
+          forwarded->reply.reportTo = this->roster->self().controlAddress;
           this->finish(id, std::move(forwarded->reply));
           return;
         }
--- a/packages/wire/include/banyanrill/wire/Peer.h
+++ b/packages/wire/include/banyanrill/wire/Peer.h
@@ -31,8 +31,22 @@
   bool operator==(const AskAdvice &) const = default;
 };
 
-using PeerRequest =
-    std::variant<membership::Greeting, ReplicaMessages, ForwardedRequest, AskAdvice>;
+/// Orders of the leader that another daemon gives to the workers for it.
+struct RelayedOrders {
+  std::uint64_t term = 0;
+  std::string answerTo; ///< host:port of the leader's peer listener.
+  std::vector<jobs::WorkerOrder> orders;
+  bool operator==(const RelayedOrders &) const = default;
+};
+
+struct RelayedAnswers {
+  std::uint64_t term = 0;
+  std::vector<std::pair<jobs::OrderId, jobs::WorkerAnswer>> answers;
+  bool operator==(const RelayedAnswers &) const = default;
+};
+
+using PeerRequest = std::variant<membership::Greeting, ReplicaMessages, ForwardedRequest, AskAdvice,
+                                 RelayedOrders, RelayedAnswers>;
 
 struct Received {
   bool operator==(const Received &) const = default;
--- a/packages/wire/src/JobFields.h
+++ b/packages/wire/src/JobFields.h
@@ -72,6 +72,15 @@
 BANYANRILL_FIELDS(Reply, v.code, v.message, v.retryAfterMs, v.phase, v.started, v.waiting,
                   v.document, v.reportTo, v.waveDone)
 BANYANRILL_FIELDS(AdviceAnswer, v.answered, v.good)
+BANYANRILL_FIELDS(OrderTarget, v.worker, v.address, v.fence)
+BANYANRILL_FIELDS(StartOrder, v.id, v.target, v.run, v.taskSpec, v.leaseUntilMs, v.checkpoint,
+                  v.ticket)
+BANYANRILL_FIELDS(StopOrder, v.id, v.target, v.run)
+BANYANRILL_FIELDS(HoldOrder, v.id, v.target, v.leaseUntilMs, v.recordedEnds, v.waitMs)
+BANYANRILL_FIELDS(PaceOrder, v.id, v.target, v.run, v.percent)
+BANYANRILL_FIELDS(OrderAnswer, v.outcome, v.clockMs)
+BANYANRILL_FIELDS(RunningTask, v.run, v.checkpoint, v.percent, v.load)
+BANYANRILL_FIELDS(HoldAnswer, v.outcome, v.clockMs, v.bornMs, v.running, v.ended)
 } // namespace jobs
 
 namespace membership {
@@ -86,6 +95,8 @@
 BANYANRILL_FIELDS(ReplicaMessages, v.messages)
 BANYANRILL_FIELDS(ForwardedRequest, v.requestId, v.request, v.minimumTerm)
 BANYANRILL_FIELDS(AskAdvice, v.step, v.workers, v.expectedMs)
+BANYANRILL_FIELDS(RelayedOrders, v.term, v.answerTo, v.orders)
+BANYANRILL_FIELDS(RelayedAnswers, v.term, v.answers)
 BANYANRILL_NO_FIELDS(Received)
 BANYANRILL_FIELDS(ForwardedReply, v.leads, v.term, v.reply)
 } // namespace wire
