--- a/packages/http/include/banyanrill/http/Loop.h
+++ b/packages/http/include/banyanrill/http/Loop.h
@@ -125,6 +125,9 @@
   /// Calls `onWake` once at this time, which replaces an earlier one. Loop thread only.
   void wakeAt(base::TimePoint time);
 
+  /// From now on each connection is closed after its next answer, so that callers move elsewhere.
+  void closeAfterAnswers();
+
   /// Stops accepting connections and requests (503 with `Connection: close`); open exchanges go on.
   void drain();
 
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -358,6 +358,14 @@
   this->state->alarm->set(OnlyKey, time - base::steadyNow());
 }
 
+void Loop::closeAfterAnswers() {
+  State *target = this->state.get();
+  target->post([target] {
+    if (target->server)
+      target->server->closeAfterAnswers();
+  });
+}
+
 void Loop::drain() {
   State *target = this->state.get();
   target->post([target] {
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -307,7 +307,7 @@
   const auto found = this->exchanges.find(exchange);
   if (found == this->exchanges.end() || found->second->response)
     return;
-  if (this->draining)
+  if (this->closing || this->draining)
     found->second->closeAfterResponse = true;
   this->send(*found->second, std::move(response));
 }
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -29,6 +29,7 @@
 
   void respond(ExchangeId exchange, Response response);
   void abort(ExchangeId exchange);
+  void closeAfterAnswers() { this->closing = true; }
   void drain();
 
   /// After this no handler is called.
@@ -85,6 +86,7 @@
   std::uint64_t lastConnection = 0;
   std::atomic<std::size_t> openCount = 0;
   ExchangeId lastExchange = 0;
+  bool closing = false; ///< Connections end with their next answer.
   bool draining = false;
   bool stopped = false;
 };
--- a/packages/node/include/banyanrill/node/Node.h
+++ b/packages/node/include/banyanrill/node/Node.h
@@ -20,10 +20,14 @@
   /// Puts changed settings in force: the seeds; others need a restart.
   void reload(NodeOptions options);
 
-  /// Begins a graceful stop: passes leadership on, takes no new channels, finishes open requests.
+  /// Begins a graceful stop: passes leadership on, tells that it is not ready, and closes each
+  /// connection after its next answer.
   void drain();
 
-  /// Whether a graceful stop has nothing more to wait for.
+  /// The last part of a graceful stop: new requests are refused at once, open ones are finished.
+  void refuse();
+
+  /// Whether no request of a caller is open.
   bool isDrained() const;
 
 private:
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -244,8 +244,12 @@
   this->greet();
   this->retryOpen();
   this->expireRelayed();
-  if (this->draining)
-    this->drained = this->open.empty() && this->loop->openExchanges() == 0;
+  if (this->draining) {
+    this->drained = this->open.empty();
+    // The message that passes leadership on may be lost.
+    if (this->group && this->group->leads())
+      this->group->transferLeadership(this->now);
+  }
   this->scheduleWork();
   base::flushEventLog();
   this->nextWake = this->now + (this->group ? MemberTick : PlainTick);
@@ -276,6 +280,7 @@
   State *target = this->state.get();
   target->loop->run([target] {
     target->draining = true;
+    target->loop->closeAfterAnswers();
     target->roster->setStopping();
     if (target->group)
       target->group->transferLeadership(base::steadyNow());
@@ -283,6 +288,8 @@
   });
 }
 
+void Node::refuse() { this->state->loop->drain(); }
+
 bool Node::isDrained() const { return this->state->drained.load(); }
 
 } // namespace banyanrill::node
