Stop a gang whose members do not start together

Change: after a third of the waiting time the run of the whole gang is stopped and placed again. Test: DispatcherFaults.GangIsStoppedBeforeItsMembersGiveUpWaiting failed before.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -51,6 +51,8 @@
   }
   this->timedJobs.erase(id);
   this->desk.forgetJob(id);
+  this->abandonedGangs.erase(this->abandonedGangs.lower_bound({id, 0, 0}),
+                             this->abandonedGangs.upper_bound({id, UINT32_MAX, UINT32_MAX}));
   if (job == nullptr)
     this->ended.erase(id);
   else
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -43,6 +43,7 @@
   AdviceDesk desk;
   std::map<TaskKey, PendingRun> pending;
   std::unordered_map<OrderId, OrderSubject> orders;
+  std::map<StepKey, std::uint32_t> abandonedGangs; ///< Runs of gangs that did not start together.
   OrderId lastOrder = 0;
   bool planWanted = true;
   base::TimePoint nextPlan = base::TimePoint::min();
@@ -67,6 +68,7 @@
                 const Placement &placement);
   bool mayStart(const RunKey &run) const;
   bool gangIsBroken(const RunKey &run) const;
+  void checkGang(const RunKey &run, const RunView &view);
   void sendStart(const Worker &worker, WorkerSession &session, const RunKey &run, RunView &view);
   void sendStop(const Worker &worker, WorkerSession &session, const RunKey &run);
   void sendHold(const Worker &worker, WorkerSession &session);
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -22,6 +22,10 @@
 /// Starts of one run before it is stopped instead.
 constexpr std::uint32_t MaxStarts = 3;
 
+/// A gang is given up if a member has not started after this part of the time that the others wait
+/// for it, so that the orders to stop them arrive in time.
+constexpr int GangPatience = 3;
+
 /// Longest list of ends in one answer; a full one may leave ends out.
 constexpr std::size_t FullEndList = 500;
 
@@ -143,12 +147,35 @@
   const Job *job = this->table.findJob(run.task.job);
   if (job == nullptr || !job->spec.steps[run.task.step].gang)
     return false;
+  const auto abandoned =
+      this->abandonedGangs.find({run.task.job, run.task.occurrence, run.task.step});
+  if (abandoned != this->abandonedGangs.end() && abandoned->second >= run.run)
+    return true;
   const StepProgress &step = job->occurrences.at(run.task.occurrence).steps[run.task.step];
   return std::any_of(step.tasks.begin(), step.tasks.end(), [&run](const Task &member) {
     return member.phase == TaskPhase::Waiting && member.lastRun == run.run;
   });
 }
 
+void Dispatcher::State::checkGang(const RunKey &run, const RunView &view) {
+  const Job *job = this->table.findJob(run.task.job);
+  if (job == nullptr || !job->spec.steps[run.task.step].gang || view.inherited)
+    return;
+  const bool lateStart = !view.startAnswered &&
+                         this->now - view.placedAt > this->options.gangTimeout / GangPatience;
+  if (!lateStart && !view.stopWanted)
+    return;
+  // The members that started would wait for this one until they give up.
+  std::uint32_t &abandoned =
+      this->abandonedGangs[{run.task.job, run.task.occurrence, run.task.step}];
+  if (abandoned >= run.run)
+    return;
+  abandoned = run.run;
+  const StepProgress &step = job->occurrences.at(run.task.occurrence).steps[run.task.step];
+  for (const Task &member : step.tasks)
+    this->dirtyWorkers.insert(member.worker);
+}
+
 void Dispatcher::State::serveWorker(const Worker &worker, WorkerSession &session) {
   const bool silent = session.holdLost || !session.contacted;
   if (silent && this->now >= session.leaseEndsBy) {
@@ -165,10 +192,16 @@
 }
 
 void Dispatcher::State::serveRuns(const Worker &worker, WorkerSession &session) {
-  if (!session.contacted || session.holdLost)
+  if (!session.contacted)
     return;
-  for (const auto &[task, placement] : worker.placements)
-    this->serveRun(worker, session, task, placement);
+  for (const auto &[task, placement] : worker.placements) {
+    if (!session.holdLost) {
+      this->serveRun(worker, session, task, placement);
+      continue;
+    }
+    if (const auto view = session.runs.find(task); view != session.runs.end())
+      this->checkGang({task, placement.run}, view->second);
+  }
 }
 
 void Dispatcher::State::serveRun(const Worker &worker, WorkerSession &session, const TaskKey &task,
@@ -186,6 +219,7 @@
   if (placement.formerLife || abandoned || (!view.startAnswered && !this->mayStart(run)) ||
       this->gangIsBroken(run))
     view.stopWanted = true;
+  this->checkGang(run, view);
   if (view.startInFlight || view.stopInFlight || this->now < view.nextTry ||
       session.callsInFlight >= MaxCallsPerWorker)
     return;
--- a/packages/jobs/tests/DispatcherFaultsTest.cpp
+++ b/packages/jobs/tests/DispatcherFaultsTest.cpp
@@ -125,3 +125,23 @@
   CHECK(cell.phaseOf("job") == JobPhase::Succeeded);
   checkNoViolation(cell);
 }
+
+/// The members that started waited 4 s for one whose order was never answered, and gave up.
+TEST(DispatcherFaults, GangIsStoppedBeforeItsMembersGiveUpWaiting) {
+  FakeCell cell({});
+  cell.run(2000);
+  JobSpec spec = makeJob("job", 6, 3000, 20000);
+  spec.steps[0].gang = true;
+  cell.submit(spec);
+  cell.run(14); // Accepted, and placed in the next step.
+  cell.cut(0, true);
+  cell.run(2400);
+  std::uint32_t running = 0;
+  for (std::size_t index = 1; index < 6; ++index)
+    running += static_cast<std::uint32_t>(cell.worker(index).runningCount());
+  CHECK_EQUAL(0U, running);
+  cell.cut(0, false);
+  cell.run(60000);
+  CHECK(cell.phaseOf("job") == JobPhase::Succeeded);
+  checkNoViolation(cell);
+}
--- a/packages/jobs/tests/FakeWorker.h
+++ b/packages/jobs/tests/FakeWorker.h
@@ -36,6 +36,8 @@
   void restart(const std::string &id, std::int64_t nowMs);
   void kill();
 
+  std::size_t runningCount() const { return this->running.size(); }
+
   std::int64_t clockMs(std::int64_t nowMs) const {
     return static_cast<std::int64_t>(static_cast<double>(nowMs - this->bornAtMs) * this->rate);
   }
