--- a/bench/dispatch.cpp
+++ b/bench/dispatch.cpp
@@ -20,8 +20,14 @@
   const auto begin = std::chrono::steady_clock::now();
   for (int number = 0; number < static_cast<int>(perSecond * Seconds); ++number) {
     const bool wide = number % 20 == 0;
-    JobSpec spec = makeJob("j" + std::to_string(number), wide ? 20 : number % 5 == 0 ? 20 : 3,
-                           wide ? 4000 : 1200, wide ? 4000 : number % 5 == 0 ? 2200 : 1000);
+    JobSpec spec = makeJob("j" + std::to_string(number),
+                           wide              ? 20
+                           : number % 5 == 0 ? 20
+                                             : 3,
+                           wide ? 4000 : 1200,
+                           wide              ? 4000
+                           : number % 5 == 0 ? 2200
+                                             : 1000);
     spec.steps[0].gang = number % 8 == 0;
     cell.submit(spec);
     cell.run(static_cast<std::int64_t>(1000.0 / perSecond));
--- /dev/null
+++ b/packages/base/tests/BoundedOutputTest.cpp
@@ -0,0 +1,42 @@
+// Guards against a log whose reader stands still: writing must not wait, and what is lost is
+// counted.
+#include "../src/BoundedOutput.h"
+
+#include <array>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using banyanrill::base::BoundedOutput;
+
+TEST_GROUP(BoundedOutput) {
+  std::array<int, 2> ends{};
+
+  void setup() override { CHECK_EQUAL(0, pipe(this->ends.data())); }
+  void teardown() override {
+    close(this->ends[0]);
+    close(this->ends[1]);
+  }
+};
+
+TEST(BoundedOutput, BlockedReaderDelaysNothing) {
+  BoundedOutput output(this->ends[1]);
+  const std::string line = std::string(999, 'x') + "\n";
+  const auto begin = std::chrono::steady_clock::now();
+  for (int count = 0; count < 2000; ++count)
+    output.add(line);
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(2));
+  CHECK(output.dropped() > 0);
+}
+
+TEST(BoundedOutput, ReaderGetsWholeLinesInOrder) {
+  BoundedOutput output(this->ends[1]);
+  output.add("first\n");
+  output.add("second\n");
+  output.flush();
+  std::array<char, 64> buffer{};
+  const ssize_t size = read(this->ends[0], buffer.data(), buffer.size());
+  CHECK_EQUAL(std::string("first\nsecond\n"),
+              std::string(buffer.data(), static_cast<std::size_t>(size)));
+  CHECK_EQUAL(0U, output.dropped());
+}
--- a/packages/http/src/CallTable.cpp
+++ b/packages/http/src/CallTable.cpp
@@ -284,6 +284,7 @@
 void CallTable::stop() {
   while (!this->calls.empty())
     this->abandon(*this->calls.begin()->second, "the client stopped");
+  this->deadlines.stop();
 }
 
 void CallTable::onDestroyed(lws *wsi) {
--- a/packages/http/src/DeadlineQueue.cpp
+++ b/packages/http/src/DeadlineQueue.cpp
@@ -29,8 +29,13 @@
   // The timer stays: it is cheaper to let it find nothing than to move it at every cancellation.
 }
 
+void DeadlineQueue::stop() {
+  this->stopped = true;
+  lws_sul_cancel(&this->timer.entry);
+}
+
 void DeadlineQueue::schedule() {
-  if (this->deadlines.empty()) {
+  if (this->stopped || this->deadlines.empty()) {
     this->scheduled = base::TimePoint::max();
     return;
   }
--- a/packages/http/src/DeadlineQueue.h
+++ b/packages/http/src/DeadlineQueue.h
@@ -28,6 +28,10 @@
   void set(Key key, base::Duration fromNow);
   void cancel(Key key);
 
+  /// No deadline expires any more. Must be called before the context is destroyed, which would leave
+  /// the timer in a list that is gone.
+  void stop();
+
 private:
   struct Timer {
     lws_sorted_usec_list_t entry = {}; ///< First member: `onTimer` converts its address.
@@ -42,6 +46,7 @@
   std::set<std::pair<base::TimePoint, Key>> deadlines;
   std::unordered_map<Key, base::TimePoint> deadlineOf;
   base::TimePoint scheduled = base::TimePoint::max();
+  bool stopped = false;
   Timer timer;
 };
 
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -324,7 +324,10 @@
 
 void Server::drain() { this->draining = true; }
 
-void Server::stop() { this->stopped = true; }
+void Server::stop() {
+  this->stopped = true;
+  this->deadlines.stop();
+}
 
 std::string Server::composeHead(const Connection &connection) const {
   const Response &response = *connection.response;
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -299,15 +299,15 @@
   std::size_t named = 0;
   std::size_t surely = 0;
   for (const Candidate &candidate : candidates) {
-    if (surely >= needed ||
-        (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
+    if (surely >= needed || (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
       break;
     workers.push_back(*candidate.worker);
     named += candidate.slots;
     surely += candidate.known ? candidate.slots : 0;
   }
   ++this->figures.adviceCalls;
-  this->actions.emplace_back(this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
+  this->actions.emplace_back(
+      this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
 }
 
 void Dispatcher::State::plan() {
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -82,8 +82,8 @@
   open.progress = &job.occurrences.at(key.occurrence).steps[key.step];
   base::TimePoint due = this->acceptedAt.at(key.job);
   if (job.spec.repeatCount > 0)
-    due += milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence -
-                        job.acceptedMs);
+    due +=
+        milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
   const std::int64_t aim = aimOf(job);
   const base::Duration chain = milliseconds(chainFrom(job.spec, key.step));
   open.latestStart = due + milliseconds(aim) - chain;
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -161,8 +161,8 @@
   const Job *job = this->table.findJob(run.task.job);
   if (job == nullptr || !job->spec.steps[run.task.step].gang || view.inherited)
     return;
-  const bool lateStart = !view.startAnswered &&
-                         this->now - view.placedAt > this->options.gangTimeout / GangPatience;
+  const bool lateStart =
+      !view.startAnswered && this->now - view.placedAt > this->options.gangTimeout / GangPatience;
   if (!lateStart && !view.stopWanted)
     return;
   // The members that started would wait for this one until they give up.
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -49,8 +49,8 @@
 struct WorkerSession {
   WorkerLife life;
   const Worker *worker = nullptr; ///< In the table, as long as the session lives.
-  bool contacted = false; ///< Has answered under this leader's fence.
-  bool leaving = false;   ///< Has said that it ends now.
+  bool contacted = false;         ///< Has answered under this leader's fence.
+  bool leaving = false;           ///< Has said that it ends now.
   std::optional<ClockReading> clock;
   bool holdInFlight = false;
   bool holdLost = false; ///< The last hold was not answered.
@@ -66,7 +66,7 @@
   // Room, kept current by the planner.
   bool roomStale = true;
   base::Resources used;
-  base::Resources proposed;   ///< Of runs that are not in the table yet.
+  base::Resources proposed;  ///< Of runs that are not in the table yet.
   std::uint32_t fillers = 0; ///< Runs that use what others leave.
   std::uint32_t serving = 0; ///< Runs with a response target.
 
--- a/packages/jobs/tests/DispatcherPropertyTest.cpp
+++ b/packages/jobs/tests/DispatcherPropertyTest.cpp
@@ -66,8 +66,8 @@
   cell.run(2500);
   for (int round = 0; round < 25; ++round) {
     for (int number = 0; number < 2; ++number)
-      cell.submit(randomJob("j" + std::to_string(round) + "-" + std::to_string(number),
-                            cell.random()));
+      cell.submit(
+          randomJob("j" + std::to_string(round) + "-" + std::to_string(number), cell.random()));
     if (cell.random().below(3) == 0)
       oneFault(cell, options.workers);
     if (cell.random().below(6) == 0)
@@ -83,9 +83,8 @@
     std::string text = "a job did not end: " + id;
     for (const auto &[number, occurrence] : job.occurrences) {
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        text += "; step " + std::to_string(step) +
-                (job.spec.steps[step].gang ? " (gang)" : "") + " of " +
-                std::to_string(job.spec.steps[step].demand.millicores) + " millicores:";
+        text += "; step " + std::to_string(step) + (job.spec.steps[step].gang ? " (gang)" : "") +
+                " of " + std::to_string(job.spec.steps[step].demand.millicores) + " millicores:";
         for (const Task &task : occurrence.steps[step].tasks)
           text += " " + std::to_string(static_cast<int>(task.phase)) + "/" +
                   std::to_string(task.lastRun) + "@" + task.worker;
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -42,8 +42,7 @@
   return spec;
 }
 
-FakeCell::FakeCell(CellOptions cellOptions)
-    : options(cellOptions), source(cellOptions.seed) {
+FakeCell::FakeCell(CellOptions cellOptions) : options(cellOptions), source(cellOptions.seed) {
   Configuration configuration;
   configuration.version = 1;
   configuration.services = {"service"};
@@ -59,9 +58,9 @@
   observer.work = [this](const std::string & /*worker*/, const RunKey &run) {
     const Step &step = this->table.findJob(run.task.job)->spec.steps[run.task.step];
     const std::int64_t takes =
-        step.estimatedMs / 2 + static_cast<std::int64_t>(this->source.below(
-                                   static_cast<std::uint64_t>(std::max<std::int64_t>(
-                                       step.estimatedMs, 1))));
+        step.estimatedMs / 2 +
+        static_cast<std::int64_t>(this->source.below(
+            static_cast<std::uint64_t>(std::max<std::int64_t>(step.estimatedMs, 1))));
     return std::make_pair(takes, this->source.unit() < this->options.failShare);
   };
   for (std::size_t index = 0; index < this->options.workers; ++index) {
@@ -165,8 +164,7 @@
 
 void FakeCell::pump() {
   this->commitDue();
-  std::vector<Action> actions =
-      this->dispatcher->takeActions(this->clock(), this->nowMs + EpochMs);
+  std::vector<Action> actions = this->dispatcher->takeActions(this->clock(), this->nowMs + EpochMs);
   for (Action &action : actions)
     this->carryOut(action);
 }
@@ -207,8 +205,7 @@
     return;
   }
   if (this->source.unit() < this->options.lateShare) {
-    const std::int64_t late =
-        there + 2000 + static_cast<std::int64_t>(this->source.below(10000));
+    const std::int64_t late = there + 2000 + static_cast<std::int64_t>(this->source.below(10000));
     // The worker has received the order, so it is lost with the worker's life.
     this->at(late, [this, perform, target, life = target->profile.life] {
       if (target->alive && target->profile.life == life)
@@ -234,24 +231,30 @@
     this->log.emplace_back(this->nowMs + CommitMs, std::move(*command));
   } else if (auto *start = std::get_if<StartOrder>(&action)) {
     this->call<StartOrder, OrderAnswer>(
-        *start, [](FakeWorker &worker, const StartOrder &order,
-                   std::int64_t time) { return worker.start(order, time); },
+        *start,
+        [](FakeWorker &worker, const StartOrder &order, std::int64_t time) {
+          return worker.start(order, time);
+        },
         [this](OrderId id, const OrderAnswer &answer) {
           this->dispatcher->onStartAnswer(id, answer, this->clock());
         },
         OrderTimeoutMs);
   } else if (auto *stop = std::get_if<StopOrder>(&action)) {
     this->call<StopOrder, OrderAnswer>(
-        *stop, [](FakeWorker &worker, const StopOrder &order,
-                  std::int64_t time) { return worker.stop(order, time); },
+        *stop,
+        [](FakeWorker &worker, const StopOrder &order, std::int64_t time) {
+          return worker.stop(order, time);
+        },
         [this](OrderId id, const OrderAnswer &answer) {
           this->dispatcher->onStopAnswer(id, answer, this->clock());
         },
         OrderTimeoutMs);
   } else if (auto *hold = std::get_if<HoldOrder>(&action)) {
     this->call<HoldOrder, HoldAnswer>(
-        *hold, [](FakeWorker &worker, const HoldOrder &order,
-                  std::int64_t time) { return worker.hold(order, time); },
+        *hold,
+        [](FakeWorker &worker, const HoldOrder &order, std::int64_t time) {
+          return worker.hold(order, time);
+        },
         [this](OrderId id, const HoldAnswer &answer) {
           this->dispatcher->onHoldAnswer(id, answer, this->clock());
         },
@@ -317,9 +320,9 @@
   std::vector<std::string> found = this->violations;
   // An end that was lost with its worker does not count as an attempt.
   for (const Start &start : this->starts) {
-    const auto counted = std::count_if(
-        start.failedBefore.begin(), start.failedBefore.end(),
-        [this](const RunKey &run) { return this->recordedFailures.count(run) != 0; });
+    const auto counted =
+        std::count_if(start.failedBefore.begin(), start.failedBefore.end(),
+                      [this](const RunKey &run) { return this->recordedFailures.count(run) != 0; });
     if (counted >= MaxAttempts)
       found.push_back("started after its last attempt: " + start.name);
   }
@@ -370,9 +373,8 @@
 
 bool FakeCell::allEnded() const {
   const std::map<std::string, Job> &jobs = this->table.state().jobs;
-  return std::all_of(jobs.begin(), jobs.end(), [](const auto &entry) {
-    return entry.second.phase != JobPhase::Active;
-  });
+  return std::all_of(jobs.begin(), jobs.end(),
+                     [](const auto &entry) { return entry.second.phase != JobPhase::Active; });
 }
 
 } // namespace banyanrill::jobs::test
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -15,9 +15,9 @@
 struct CellOptions {
   std::uint64_t seed = 1;
   std::size_t workers = 6;
-  double lateShare = 0;   ///< Of orders: no answer, carried out seconds later.
-  double lostShare = 0;   ///< Of calls: nothing arrives, or the answer is lost.
-  double failShare = 0;   ///< Of runs.
+  double lateShare = 0; ///< Of orders: no answer, carried out seconds later.
+  double lostShare = 0; ///< Of calls: nothing arrives, or the answer is lost.
+  double failShare = 0; ///< Of runs.
   bool advice = false;
 };
 
--- a/packages/jobs/tests/FakeWorker.cpp
+++ b/packages/jobs/tests/FakeWorker.cpp
@@ -97,14 +97,12 @@
     return answer;
   }
   if (order.leaseUntilMs)
-    this->leaseUntilMs =
-        std::max(this->leaseUntilMs,
-                 std::min(*order.leaseUntilMs, this->clockMs(nowMs) + LongestLeaseMs));
-  this->ends.erase(std::remove_if(this->ends.begin(), this->ends.end(),
-                                  [&order](const TaskEnd &end) {
-                                    return end.number <= order.recordedEnds;
-                                  }),
-                   this->ends.end());
+    this->leaseUntilMs = std::max(
+        this->leaseUntilMs, std::min(*order.leaseUntilMs, this->clockMs(nowMs) + LongestLeaseMs));
+  this->ends.erase(
+      std::remove_if(this->ends.begin(), this->ends.end(),
+                     [&order](const TaskEnd &end) { return end.number <= order.recordedEnds; }),
+      this->ends.end());
   for (const auto &[task, run] : this->running)
     answer.running.push_back({{task, run.run}, {}, 50, 0});
   answer.ended = this->ends;
--- /dev/null
+++ b/packages/jobs/tests/TableTest.cpp
@@ -0,0 +1,170 @@
+// Guards the replicated table: repeated commands change nothing, configurations never go back,
+// steps wait for others, and an end counts once.
+#include "FakeCell.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanrill;
+using namespace banyanrill::jobs;
+using namespace banyanrill::jobs::test;
+
+namespace {
+
+Configuration configurationOf(std::uint64_t version, const std::string &prefix) {
+  Configuration configuration;
+  configuration.version = version;
+  configuration.services = {"service"};
+  Queue queue;
+  queue.name = "queue";
+  queue.host = "host";
+  queue.pathPrefix = prefix;
+  queue.service = "service";
+  queue.maxAttempts = 2;
+  configuration.queues = {queue};
+  configuration.document = "version " + std::to_string(version);
+  return configuration;
+}
+
+WorkerProfile profileOf(const std::string &id, const std::string &address, std::int64_t bornMs) {
+  WorkerProfile profile;
+  profile.life = {id, bornMs};
+  profile.service = "service";
+  profile.address = address;
+  profile.capacity = {8000, 8000, 0};
+  return profile;
+}
+
+struct TableFixture {
+  Table table;
+  Effect lastEffect;
+
+  void apply(Command command) {
+    this->lastEffect = this->table.apply({1000, {std::move(command)}});
+  }
+  void accept(JobSpec spec) {
+    this->apply(PutConfiguration{configurationOf(1, "/q/")});
+    this->apply(AcceptJob{std::move(spec), configurationOf(1, "/q/").queues[0]});
+    this->apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 1)});
+  }
+  void place(const RunKey &run) { this->apply(PlaceRuns{1, {{run, "w"}}}); }
+  void end(std::uint64_t number, const RunKey &run, EndKind kind) {
+    this->apply(RecordEnds{{"w", 1}, {{number, run, kind, {}}}});
+  }
+};
+
+} // namespace
+
+TEST_GROUP(Table) { TableFixture cell; };
+
+TEST(Table, OlderOrEqualConfigurationChangesNothing) {
+  this->cell.apply(PutConfiguration{configurationOf(5, "/new/")});
+  this->cell.apply(PutConfiguration{configurationOf(4, "/old/")});
+  Configuration other = configurationOf(5, "/other/");
+  this->cell.apply(PutConfiguration{other});
+  CHECK_EQUAL(std::string("/new/"), this->cell.table.state().configuration->queues[0].pathPrefix);
+}
+
+TEST(Table, LongestPrefixOfTheHostIsTheQueue) {
+  Configuration configuration = configurationOf(1, "/a/");
+  configuration.queues.push_back(configuration.queues[0]);
+  configuration.queues[1].name = "longer";
+  configuration.queues[1].pathPrefix = "/a/b/";
+  this->cell.apply(PutConfiguration{configuration});
+  std::string rest;
+  CHECK_EQUAL(std::string("longer"), this->cell.table.findQueue("host", "/a/b/id", rest)->name);
+  CHECK_EQUAL(std::string("id"), rest);
+  CHECK(this->cell.table.findQueue("elsewhere", "/a/b/id", rest) == nullptr);
+}
+
+TEST(Table, JobHandedInTwiceIsOneJob) {
+  this->cell.accept(makeJob("job", 2, 100, 100));
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  this->cell.apply(AcceptJob{makeJob("job", 9, 100, 100), configurationOf(1, "/q/").queues[0]});
+  CHECK_EQUAL(2U, this->cell.table.findJob("job")->spec.steps[0].count);
+  CHECK(this->cell.table.findJob("job")->started);
+}
+
+TEST(Table, StepWaitsForTheStepsBeforeIt) {
+  JobSpec spec = makeJob("job", 1, 100, 100);
+  spec.steps.push_back(spec.steps[0]);
+  spec.steps[1].after = {0};
+  this->cell.accept(spec);
+  const Job &job = *this->cell.table.findJob("job");
+  CHECK(!Table::isReady(job, job.occurrences.at(0), 1));
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  this->cell.end(1, {{"job", 0, 0, 0}, 1}, EndKind::Succeeded);
+  CHECK(Table::isReady(job, job.occurrences.at(0), 1));
+}
+
+TEST(Table, EndThatIsListedAgainCountsOnce) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  this->cell.end(1, {{"job", 0, 0, 0}, 1}, EndKind::Failed);
+  this->cell.place({{"job", 0, 0, 0}, 2});
+  this->cell.end(1, {{"job", 0, 0, 0}, 1}, EndKind::Failed);
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Active);
+  this->cell.end(2, {{"job", 0, 0, 0}, 2}, EndKind::Failed);
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Failed);
+}
+
+TEST(Table, OnlyFailuresCountAsAttempts) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  for (std::uint32_t run = 1; run <= 6; ++run) {
+    this->cell.place({{"job", 0, 0, 0}, run});
+    this->cell.end(run, {{"job", 0, 0, 0}, run}, EndKind::Stopped);
+  }
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Active);
+}
+
+TEST(Table, RunNumberIsNeverUsedTwice) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.place({{"job", 0, 0, 0}, 3});
+  this->cell.end(1, {{"job", 0, 0, 0}, 3}, EndKind::Stopped);
+  this->cell.place({{"job", 0, 0, 0}, 3});
+  CHECK(this->cell.table.findWorker("w")->placements.empty());
+}
+
+TEST(Table, LateReportOfAReplacedWorkerChangesNothing) {
+  this->cell.apply(RegisterWorker{profileOf("new", "10.0.0.1:80", 20)});
+  this->cell.apply(RegisterWorker{profileOf("old", "10.0.0.1:80", 10)});
+  CHECK(this->cell.table.findWorker("old") == nullptr);
+  CHECK(this->cell.table.findWorker("new") != nullptr);
+}
+
+TEST(Table, NewLifeUnderTheSameIdentifierKeepsItsRunsUntilTheyAreBarred) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 2)});
+  CHECK(this->cell.table.findWorker("w")->placements.begin()->second.formerLife);
+  CHECK_EQUAL(0U, this->cell.table.findWorker("w")->recordedEnds);
+  // An end of the new life with the same run number is not this run's end.
+  this->cell.apply(RecordEnds{{"w", 2}, {{1, {{"job", 0, 0, 0}, 1}, EndKind::Succeeded, {}}}});
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Active);
+}
+
+TEST(Table, OneSuccessEndsAGang) {
+  JobSpec spec = makeJob("job", 3, 100, 100);
+  spec.steps[0].gang = true;
+  this->cell.accept(spec);
+  for (std::uint32_t index = 0; index < 3; ++index)
+    this->cell.place({{"job", 0, 0, index}, 1});
+  this->cell.end(1, {{"job", 0, 0, 1}, 1}, EndKind::Succeeded);
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Succeeded);
+  // The others still occupy their workers until their ends are listed.
+  CHECK_EQUAL(2U, this->cell.table.findWorker("w")->placements.size());
+}
+
+TEST(Table, OccurrencesOpenWhenTheyAreDueAndEndEachForItself) {
+  JobSpec spec = makeJob("job", 1, 100, 100);
+  spec.repeatCount = 2;
+  this->cell.accept(spec);
+  CHECK(this->cell.table.findJob("job")->occurrences.empty());
+  this->cell.apply(OpenOccurrences{"job", 1});
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  this->cell.end(1, {{"job", 0, 0, 0}, 1}, EndKind::Succeeded);
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Active);
+  this->cell.apply(OpenOccurrences{"job", 9});
+  this->cell.place({{"job", 1, 0, 0}, 1});
+  this->cell.end(2, {{"job", 1, 0, 0}, 1}, EndKind::Succeeded);
+  CHECK(this->cell.table.findJob("job")->phase == JobPhase::Succeeded);
+}
--- a/packages/node/src/Leading.cpp
+++ b/packages/node/src/Leading.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-void Node::State::answer(const jobs::Request &request, ReplyTo reply) {
+void Node::State::answer(const jobs::Request &request, const ReplyTo &reply) {
   std::visit([&](const auto &typed) { this->answerTyped(typed, reply); }, request);
 }
 
@@ -36,7 +36,7 @@
                        });
 }
 
-void Node::State::confirmFor(ReplyTo reply, std::function<jobs::Reply()> make) {
+void Node::State::confirmFor(const ReplyTo &reply, std::function<jobs::Reply()> make) {
   this->group->confirmLeadership([reply = std::move(reply), make = std::move(make)](
                                      bool confirmed) { reply(confirmed ? make() : inDoubt()); },
                                  this->now);
@@ -72,7 +72,7 @@
   this->proposeFor(jobs::AcceptJob{std::move(spec), *queue}, std::move(reply), {});
 }
 
-void Node::State::answerTyped(const jobs::StateRequest &request, ReplyTo reply) {
+void Node::State::answerTyped(const jobs::StateRequest &request, const ReplyTo &reply) {
   const jobs::Table &table = this->group->table();
   std::string id;
   const jobs::Queue *queue = table.findQueue(request.host, request.path, id);
@@ -125,8 +125,9 @@
   this->proposeFor(jobs::PutConfiguration{request.configuration}, std::move(reply), {});
 }
 
-void Node::State::answerTyped(const jobs::ReadConfigurationRequest & /*request*/, ReplyTo reply) {
-  this->confirmFor(std::move(reply), [this] {
+void Node::State::answerTyped(const jobs::ReadConfigurationRequest & /*request*/,
+                              const ReplyTo &reply) {
+  this->confirmFor(reply, [this] {
     const std::optional<jobs::Configuration> &current = this->group->table().state().configuration;
     if (!current)
       return replyOf(jobs::ReplyCode::Unavailable, "there is no configuration yet");
@@ -145,17 +146,16 @@
     reply(accepted);
     return;
   }
-  this->group->propose(
-      jobs::RegisterWorker{request.profile},
-      [this, request, accepted, reply = std::move(reply)](ProposalFate fate) {
-        if (fate != ProposalFate::Applied) {
-          reply(inDoubt());
-          return;
-        }
-        if (this->dispatcher)
-          this->dispatcher->onReport(request, this->now);
-        reply(accepted);
-      });
+  this->group->propose(jobs::RegisterWorker{request.profile},
+                       [this, request, accepted, reply = std::move(reply)](ProposalFate fate) {
+                         if (fate != ProposalFate::Applied) {
+                           reply(inDoubt());
+                           return;
+                         }
+                         if (this->dispatcher)
+                           this->dispatcher->onReport(request, this->now);
+                         reply(accepted);
+                       });
 }
 
 void Node::State::answerTyped(const jobs::WorkerLeaves &request, ReplyTo reply) {
@@ -175,7 +175,7 @@
   this->proposeFor(jobs::StartWave{request.wave}, std::move(reply), {});
 }
 
-void Node::State::answerTyped(const jobs::WaveStateRequest &request, ReplyTo reply) {
+void Node::State::answerTyped(const jobs::WaveStateRequest &request, const ReplyTo &reply) {
   const std::map<std::uint64_t, jobs::Wave> &waves = this->group->table().state().waves;
   const auto found = waves.find(request.wave);
   if (found == waves.end()) {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -52,7 +52,7 @@
     : options(std::move(nodeOptions)), dialect(std::move(nodeDialect)), random(randomSeed()),
       now(base::steadyNow()), sleptMs(clockMs(CLOCK_BOOTTIME) - clockMs(CLOCK_MONOTONIC)) {}
 
-base::Status Node::State::open_() {
+base::Status Node::State::start() {
   membership::RosterOptions roster;
   roster.self.id = static_cast<base::DaemonId>(this->random.next() | 1U);
   if (!this->options.dataFolder.empty()) {
@@ -66,7 +66,9 @@
     handlers.becameLeader = [this] { this->onBecameLeader(); };
     handlers.lostLeadership = [this] { this->onLostLeadership(); };
     handlers.runLater = [this](std::function<void()> function) {
-      this->loop->run(std::move(function));
+      const std::lock_guard lock(this->closing);
+      if (!this->closed)
+        this->loop->run(std::move(function));
     };
     handlers.wake = [this] { this->scheduleWork(); };
     base::Result<std::unique_ptr<Group>> opened =
@@ -107,8 +109,8 @@
   addDoor(this->options.ready, Door::Ready);
   addDoor(this->options.metrics, Door::Metrics);
   http::LoopHandlers handlers;
-  handlers.onRequest = [this](http::ExchangeId exchange, http::Request request) {
-    this->onRequest(exchange, std::move(request));
+  handlers.onRequest = [this](http::ExchangeId exchange, const http::Request &request) {
+    this->onRequest(exchange, request);
   };
   handlers.onCallResult = [this](http::CallId id, http::CallResult result) {
     this->onCallResult(id, std::move(result));
@@ -124,7 +126,7 @@
   return std::monostate();
 }
 
-void Node::State::onRequest(http::ExchangeId exchange, http::Request request) {
+void Node::State::onRequest(http::ExchangeId exchange, const http::Request &request) {
   this->loopKnown.wait();
   this->now = base::steadyNow();
   this->scheduleWork();
@@ -189,9 +191,8 @@
 
 void Node::State::relay() {
   const bool waiting = !this->answers.answers.answers.empty() ||
-                       std::any_of(this->relays.begin(), this->relays.end(), [](const auto &entry) {
-                         return !entry.second.orders.empty();
-                       });
+                       std::any_of(this->relays.begin(), this->relays.end(),
+                                   [](const auto &entry) { return !entry.second.orders.empty(); });
   if (!waiting)
     return;
   if (this->now >= this->nextRelay) {
@@ -258,11 +259,17 @@
 
 Node::Node(std::unique_ptr<State> owned) : state(std::move(owned)) {}
 
-Node::~Node() { this->state->loop.reset(); }
+Node::~Node() {
+  {
+    const std::lock_guard lock(this->state->closing);
+    this->state->closed = true;
+  }
+  this->state->loop.reset();
+}
 
 base::Result<std::unique_ptr<Node>> Node::start(NodeOptions options, Dialect dialect) {
   auto state = std::make_unique<State>(std::move(options), std::move(dialect));
-  const base::Status opened = state->open_();
+  const base::Status opened = state->start();
   if (!opened)
     return opened.error();
   return std::unique_ptr<Node>(new Node(std::move(state)));
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <latch>
+#include <mutex>
 #include <unordered_map>
 
 namespace banyanrill::node {
@@ -71,7 +72,9 @@
   base::TimePoint now;
   std::vector<Door> doors; ///< By number of the listener.
   std::unique_ptr<http::Loop> loop;
-  std::latch loopKnown{1};      ///< The loop's thread may be faster than the assignment of `loop`.
+  std::latch loopKnown{1}; ///< The loop's thread may be faster than the assignment of `loop`.
+  std::mutex closing;
+  bool closed = false; ///< The storage thread must not use the loop any more. Under `closing`.
   std::unique_ptr<Group> group; ///< Null without a disk.
   std::unique_ptr<membership::Roster> roster;
   std::unique_ptr<jobs::Dispatcher> dispatcher; ///< While this node leads.
@@ -82,7 +85,7 @@
   std::uint64_t seenTerm = 0; ///< Highest term of a leader that answered.
   std::map<base::DaemonId, std::vector<consensus::Message>> outbox;
   std::map<base::DaemonId, std::uint32_t> sending; ///< Calls with replica messages under way.
-  std::map<base::DaemonId, RelayQueue> relays; ///< While this node leads.
+  std::map<base::DaemonId, RelayQueue> relays;     ///< While this node leads.
   std::unordered_map<jobs::OrderId, RelayedOrder> relayed;
   AnswerQueue answers; ///< For the leader that this node relays for.
   base::TimePoint nextRelay = base::TimePoint::min();
@@ -96,8 +99,8 @@
   std::int64_t sleptMs = 0; ///< Time that the machine was suspended, so far.
   NodeFigures figures;
 
-  base::Status open_();
-  void onRequest(http::ExchangeId exchange, http::Request request);
+  base::Status start();
+  void onRequest(http::ExchangeId exchange, const http::Request &request);
   void onCallResult(http::CallId id, http::CallResult result);
   void call(http::Call call, std::function<void(http::CallResult)> done);
   void scheduleWork();
@@ -119,18 +122,18 @@
   std::string metricsText() const;
 
   // The leader's answers.
-  void answer(const jobs::Request &request, ReplyTo reply);
+  void answer(const jobs::Request &request, const ReplyTo &reply);
   void answerTyped(const jobs::SubmitRequest &request, ReplyTo reply);
-  void answerTyped(const jobs::StateRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::StateRequest &request, const ReplyTo &reply);
   void answerTyped(const jobs::CancelRequest &request, ReplyTo reply);
   void answerTyped(const jobs::ConfigureRequest &request, ReplyTo reply);
-  void answerTyped(const jobs::ReadConfigurationRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::ReadConfigurationRequest &request, const ReplyTo &reply);
   void answerTyped(const jobs::WorkerReport &request, ReplyTo reply);
   void answerTyped(const jobs::WorkerLeaves &request, ReplyTo reply);
   void answerTyped(const jobs::WaveRequest &request, ReplyTo reply);
-  void answerTyped(const jobs::WaveStateRequest &request, ReplyTo reply);
+  void answerTyped(const jobs::WaveStateRequest &request, const ReplyTo &reply);
   void proposeFor(jobs::Command command, ReplyTo reply, jobs::Reply success);
-  void confirmFor(ReplyTo reply, std::function<jobs::Reply()> make);
+  void confirmFor(const ReplyTo &reply, std::function<jobs::Reply()> make);
   void onBecameLeader();
   void onLostLeadership();
   void onApplied(const jobs::CommandBatch &batch, const jobs::Effect &effect);
--- a/packages/node/src/Ordering.cpp
+++ b/packages/node/src/Ordering.cpp
@@ -104,8 +104,8 @@
   if (this->group->table().state().workers.size() <= MaxDirectWorkers || this->relays.empty())
     return base::NoDaemon;
   auto relay = this->relays.begin();
-  std::advance(relay, static_cast<std::ptrdiff_t>(std::hash<std::string>{}(worker) %
-                                                  this->relays.size()));
+  std::advance(relay,
+               static_cast<std::ptrdiff_t>(std::hash<std::string>{}(worker) % this->relays.size()));
   return relay->first;
 }
 
@@ -137,8 +137,7 @@
     if (queue.orders.empty() || queue.sending >= MaxRelayCalls || peer == nullptr)
       continue;
     ++queue.sending;
-    wire::RelayedOrders batch{term, this->roster->self().address,
-                              std::exchange(queue.orders, {})};
+    wire::RelayedOrders batch{term, this->roster->self().address, std::exchange(queue.orders, {})};
     this->callPeer(peer->address, batch, RelayTimeout,
                    [this, id = id](base::Verdict /*verdict*/,
                                    const std::optional<wire::PeerReply> & /*reply*/) {
@@ -206,18 +205,18 @@
   ++this->answers.sending;
   wire::RelayedAnswers batch{this->answers.answers.term,
                              std::exchange(this->answers.answers.answers, {})};
-  this->callPeer(this->answers.address, batch, RelayTimeout,
-                 [this](base::Verdict /*verdict*/,
-                        const std::optional<wire::PeerReply> & /*reply*/) {
-                   --this->answers.sending;
-                 });
+  this->callPeer(
+      this->answers.address, batch, RelayTimeout,
+      [this](base::Verdict /*verdict*/, const std::optional<wire::PeerReply> & /*reply*/) {
+        --this->answers.sending;
+      });
 }
 
 void Node::State::askAdvice(const wire::AskAdvice &ask,
                             std::function<void(jobs::AdviceAnswer)> done) {
   http::Call request = this->dialect.advise(ask);
   request.timeout = std::chrono::milliseconds(ask.expectedMs) + AdviceMargin;
-  this->call(std::move(request), [this, done = std::move(done)](http::CallResult result) {
+  this->call(std::move(request), [this, done = std::move(done)](const http::CallResult &result) {
     done(this->dialect.adviceAnswer(result));
   });
 }
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -29,7 +29,8 @@
 /// Without a leader's answer for this long, new callers are better served elsewhere.
 constexpr base::Duration ContactLife = std::chrono::milliseconds(2500);
 
-/// An unchanged report is forwarded again after this time, in case the leader has removed the worker.
+/// An unchanged report is forwarded again after this time, in case the leader has removed the
+/// worker.
 constexpr base::Duration ReportLife = std::chrono::milliseconds(4000);
 
 /// Workers whose reports one node remembers.
