--- a/packages/jobs/tests/DispatcherFaultsTest.cpp
+++ b/packages/jobs/tests/DispatcherFaultsTest.cpp
@@ -101,6 +101,26 @@
   CHECK(cell.phaseOf("job") == JobPhase::Succeeded);
 }
 
+/// A start whose answer was lost was repeated seconds after its worker had begun to drain.
+TEST(DispatcherFaults, LostStartIsNotRepeatedAtADrainingWorker) {
+  CellOptions options;
+  options.workers = 1;
+  FakeCell cell(options);
+  cell.run(2000);
+  cell.submit(makeJob("job", 4, 1000, 800));
+  cell.run(14);
+  cell.cut(0, true);
+  cell.run(100);
+  cell.cut(0, false);
+  cell.drain(0);
+  cell.reportNow(0);
+  cell.run(400);
+  const std::uint64_t starts = cell.figures().starts;
+  cell.run(6000);
+  CHECK_EQUAL(starts, cell.figures().starts);
+  checkNoViolation(cell);
+}
+
 TEST(DispatcherFaults, CancelledJobStopsEverywhere) {
   FakeCell cell({});
   cell.run(2000);
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -34,6 +34,8 @@
   void restart(std::size_t worker, bool sameId);
   void drain(std::size_t worker);
   void heal();
+  /// The worker reports at once, and not only when its next report is due.
+  void reportNow(std::size_t worker) { this->report(worker); }
 
   /// Lets simulated time pass.
   void run(std::int64_t milliseconds);
