Keep the loop usable while a node is being destroyed

Cause: test_platform crashed in 2 of 6 runs: while the loop's thread ended its calls, the node's pointer to the loop was already null (gdb: respond with this=0 from a late advisory answer). Change: the node uses a pointer that is valid until the loop's thread has ended.

--- a/packages/http/src/DeadlineQueue.h
+++ b/packages/http/src/DeadlineQueue.h
@@ -28,8 +28,8 @@
   void set(Key key, base::Duration fromNow);
   void cancel(Key key);
 
-  /// No deadline expires any more. Must be called before the context is destroyed, which would leave
-  /// the timer in a list that is gone.
+  /// No deadline expires any more. Must be called before the context is destroyed, which would
+  /// leave the timer in a list that is gone.
   void stop();
 
 private:
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -217,7 +217,8 @@
   const bool abandoned =
       job == nullptr || job->phase == JobPhase::Cancelled || job->phase == JobPhase::Failed;
   if (placement.formerLife || abandoned || (!view.startAnswered && !this->mayStart(run)) ||
-      this->gangIsBroken(run) || (worker.profile.draining && !view.startAnswered && !view.inherited))
+      this->gangIsBroken(run) ||
+      (worker.profile.draining && !view.startAnswered && !view.inherited))
     view.stopWanted = true;
   this->checkGang(run, view);
   if (view.startInFlight || view.stopInFlight || this->now < view.nextTry ||
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -120,7 +120,8 @@
       http::Loop::start(std::move(loopOptions), std::move(handlers));
   if (!started)
     return started.error();
-  this->loop = std::move(started.value());
+  this->ownedLoop = std::move(started.value());
+  this->loop = this->ownedLoop.get();
   this->loopKnown.count_down();
   this->loop->run([this] { this->onWake(); });
   return std::monostate();
@@ -264,7 +265,7 @@
     const std::lock_guard lock(this->state->closing);
     this->state->closed = true;
   }
-  this->state->loop.reset();
+  this->state->ownedLoop.reset();
 }
 
 base::Result<std::unique_ptr<Node>> Node::start(NodeOptions options, Dialect dialect) {
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -71,7 +71,9 @@
   base::RandomSource random;
   base::TimePoint now;
   std::vector<Door> doors; ///< By number of the listener.
-  std::unique_ptr<http::Loop> loop;
+  http::Loop *loop =
+      nullptr; ///< Usable also while it is being stopped and its thread ends its calls.
+  std::unique_ptr<http::Loop> ownedLoop;
   std::latch loopKnown{1}; ///< The loop's thread may be faster than the assignment of `loop`.
   std::mutex closing;
   bool closed = false; ///< The storage thread must not use the loop any more. Under `closing`.
