Keep the task's name while its entry is erased in the stand-in worker

Cause: the address sanitizer reported a use after free in the tests' FakeWorker::end, which took the key by reference from the entry that it erases. Change: a copy.

--- a/packages/jobs/tests/FakeWorker.cpp
+++ b/packages/jobs/tests/FakeWorker.cpp
@@ -17,7 +17,7 @@
   return true;
 }
 
-void FakeWorker::end(const TaskKey &task, EndKind how) {
+void FakeWorker::end(TaskKey task, EndKind how) {
   const auto found = this->running.find(task);
   const RunKey run{task, found->second.run};
   this->running.erase(found);
--- a/packages/jobs/tests/FakeWorker.h
+++ b/packages/jobs/tests/FakeWorker.h
@@ -53,7 +53,7 @@
   };
 
   bool admits(std::uint64_t fence);
-  void end(const TaskKey &task, EndKind how);
+  void end(TaskKey task, EndKind how); ///< A copy: the entry of the task is erased.
 
   double rate;
   RunObserver observer;
