Keep the names of virtual hosts, and free calls that end while they wait for an idle connection

With that mended the leak check failed in about every second run: a call that is ended before libwebsockets has given it the idle connection that it waits for is never freed by the library. Ruled out: a leak in the node (four states of calls tried one by one; only the call on an idle connection leaks, 3 of 3 runs). Change: the names live as long as the context; a stopping loop refuses new calls and serves one more round of events before it ends the open ones.

--- a/packages/http/src/CallTable.cpp
+++ b/packages/http/src/CallTable.cpp
@@ -135,7 +135,7 @@
     return nullptr;
 
   const std::string &authority = call.tlsAuthority;
-  const std::string name = key + '#' + std::to_string(lane);
+  const std::string &name = this->vhostNames.emplace_back(key + '#' + std::to_string(lane));
   lws_context_creation_info info = {};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.protocols = this->protocols;
@@ -172,6 +172,10 @@
     this->finish(pending, false, fault);
     return;
   }
+  if (this->refusing) {
+    this->finish(pending, false, "the client stopped");
+    return;
+  }
   if (this->calls.size() > MaxCalls) {
     this->finish(pending, false, "too many calls are in progress");
     return;
@@ -282,6 +286,7 @@
 }
 
 void CallTable::stop() {
+  this->refuse();
   while (!this->calls.empty())
     this->abandon(*this->calls.begin()->second, "the client stopped");
   this->deadlines.stop();
--- a/packages/http/src/CallTable.h
+++ b/packages/http/src/CallTable.h
@@ -5,6 +5,7 @@
 #include "banyanrill/http/Loop.h"
 
 #include <cstdint>
+#include <deque>
 #include <libwebsockets.h>
 #include <map>
 #include <memory>
@@ -32,7 +33,10 @@
   void start(CallId id, Call call);
   void cancel(CallId id);
 
-  /// Ends all calls; no call may be started after it.
+  /// Calls started after it end at once, as not run.
+  void refuse() { this->refusing = true; }
+
+  /// Ends all calls, and refuses later ones.
   void stop();
 
   /// Handles one callback of a connection. Nonzero: libwebsockets closes the connection.
@@ -65,10 +69,13 @@
   const LoopOptions &options;
   const LoopHandlers &handlers;
   std::unordered_map<CallId, std::unique_ptr<PendingCall>> calls;
+  bool refusing = false;
   DeadlineQueue deadlines;               ///< By call.
   std::map<LaneKey, lws_vhost *> vhosts; ///< By TLS authority and lane.
-  std::set<std::string> authorities;     ///< Values of `tlsKey` in use.
-  std::set<LaneKey> busyLanes;           ///< By address and lane.
+  /// libwebsockets keeps pointers to the names of its virtual hosts; a deque does not move them.
+  std::deque<std::string> vhostNames;
+  std::set<std::string> authorities; ///< Values of `tlsKey` in use.
+  std::set<LaneKey> busyLanes;       ///< By address and lane.
   /// Lanes of ended calls whose connections libwebsockets has not yet closed. A call started in
   /// such a lane would be queued behind the connection and fail with it.
   std::unordered_map<lws *, LaneKey> closingLanes;
--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -70,6 +70,8 @@
   std::optional<Server> server;
   std::optional<CallTable> calls;
   std::optional<DeadlineQueue> alarm;
+  /// libwebsockets keeps pointers to the names of its virtual hosts; a deque does not move them.
+  std::deque<std::string> listenerNames;
   std::uint16_t port = 0;
   std::atomic<CallId> lastCall = 0;
 
@@ -165,7 +167,7 @@
   std::uint16_t index = 0;
   for (const Listener &listener : this->options.moreListeners) {
     ++index;
-    const std::string name = "server" + std::to_string(index);
+    const std::string &name = this->listenerNames.emplace_back("server" + std::to_string(index));
     lws_context_creation_info info = {};
     info.vhost_name = name.c_str();
     info.iface = listener.address.c_str();
@@ -280,7 +282,14 @@
   }
   if (this->server)
     this->server->stop();
+  // Before the last commands, so that these open no connection that nothing would serve.
+  this->calls->refuse();
   this->runCommands();
+  // libwebsockets does not free a call that is ended while it waits for an idle connection; one
+  // more round of events gives it the connection.
+  lws_cancel_service(this->context);
+  if (lws_service(this->context, 0) < 0)
+    base::logEvent(base::Event::HttpLoopFailed, {{"message", "The last round of events failed."}});
   this->calls->stop();
   this->alarm.reset();
   std::lock_guard lock(contextMutex());
