Elect a leader sooner when a group starts

Followers of a living leader refuse the pre-vote, so a restarted replica disturbs nothing (tested). The test of the restarted group fails with the former timeouts by their definition: 700 ms at least.

--- a/packages/consensus/src/Following.cpp
+++ b/packages/consensus/src/Following.cpp
@@ -57,6 +57,7 @@
     becomeFollower(state, state.hardState.term, leader);
   }
   state.lastLeaderContact = state.now;
+  state.hasHeardLeader = true;
   resetElectionDeadline(state);
 }
 
--- a/packages/consensus/src/ReplicaState.cpp
+++ b/packages/consensus/src/ReplicaState.cpp
@@ -52,6 +52,7 @@
   assert(this->options.self != base::NoDaemon);
   assert(this->options.electionTimeoutMin > this->options.heartbeatInterval);
   assert(this->options.electionTimeoutMax > this->options.electionTimeoutMin);
+  assert(this->options.firstElectionTimeoutMax > this->options.firstElectionTimeoutMin);
   if (stored.snapshot) {
     this->snapshot = std::make_shared<const Snapshot>(std::move(*stored.snapshot));
   }
@@ -116,10 +117,14 @@
 }
 
 void resetElectionDeadline(ReplicaState &state) {
-  const base::Duration spread = state.options.electionTimeoutMax - state.options.electionTimeoutMin;
-  const auto extra = state.random.below(static_cast<std::uint64_t>(spread.count()));
-  state.electionDeadline = state.now + state.options.electionTimeoutMin +
-                           base::Duration(static_cast<base::Duration::rep>(extra));
+  const ReplicaOptions &options = state.options;
+  const base::Duration least =
+      state.hasHeardLeader ? options.electionTimeoutMin : options.firstElectionTimeoutMin;
+  const base::Duration most =
+      state.hasHeardLeader ? options.electionTimeoutMax : options.firstElectionTimeoutMax;
+  const auto extra = state.random.below(static_cast<std::uint64_t>((most - least).count()));
+  state.electionDeadline =
+      state.now + least + base::Duration(static_cast<base::Duration::rep>(extra));
 }
 
 void becomeFollower(ReplicaState &state, Term term, ReplicaId leader) {
--- a/packages/consensus/src/ReplicaState.h
+++ b/packages/consensus/src/ReplicaState.h
@@ -53,6 +53,7 @@
   Role role = Role::Follower; ///< Never Learner: that follows from the membership.
   ReplicaId leader = base::NoDaemon;
   base::TimePoint lastLeaderContact{};
+  bool hasHeardLeader = false; ///< Since the start, or has led.
   base::TimePoint electionDeadline{};
 
   // Candidates.
--- a/packages/consensus/src/Replication.cpp
+++ b/packages/consensus/src/Replication.cpp
@@ -103,6 +103,7 @@
   assert(state.role == Role::Candidate);
   assert(state.hardState.votedFor == state.options.self);
   state.role = Role::Leader;
+  state.hasHeardLeader = true;
   state.leader = state.options.self;
   state.votes.clear();
   state.peers.clear();
--- a/packages/consensus/tests/ElectionTest.cpp
+++ b/packages/consensus/tests/ElectionTest.cpp
@@ -75,3 +75,39 @@
   network.run(std::chrono::seconds(5));
   CHECK(network.leader() != banyanrill::base::NoDaemon);
 }
+
+// After a loss of power of all replicas there is no leader to wait for.
+TEST(Election, restartedGroupElectsSoonerThanAGroupThatLosesItsLeader) {
+  ReplicaOptions options = smallOptions();
+  options.firstElectionTimeoutMin = std::chrono::milliseconds(150);
+  options.firstElectionTimeoutMax = std::chrono::milliseconds(500);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Network network(seed, 5, {}, options);
+    network.awaitLeader();
+    for (ReplicaId id = 1; id <= 5; ++id)
+      network.crash(id);
+    for (ReplicaId id = 1; id <= 5; ++id)
+      network.restart(id);
+    const auto begin = network.now;
+    network.awaitLeader();
+    CHECK(network.now - begin < options.electionTimeoutMin);
+  }
+}
+
+// A short first timeout must not make a restarted replica replace a leader that the others follow.
+TEST(Election, restartedReplicaDoesNotReplaceTheLeader) {
+  ReplicaOptions options = smallOptions();
+  options.firstElectionTimeoutMin = std::chrono::milliseconds(5);
+  options.firstElectionTimeoutMax = std::chrono::milliseconds(10);
+  Network network(1, 3, {}, options);
+  const ReplicaId leader = network.awaitLeader();
+  network.run(std::chrono::seconds(1));
+  const Term term = network.at(leader).term();
+  const ReplicaId other = leader % 3 + 1;
+  network.crash(other);
+  network.run(std::chrono::seconds(1));
+  network.restart(other);
+  network.run(std::chrono::seconds(5));
+  CHECK_EQUAL(leader, network.leader());
+  CHECK_EQUAL(term, network.at(leader).term());
+}
--- a/packages/consensus/tests/Scenario.cpp
+++ b/packages/consensus/tests/Scenario.cpp
@@ -23,6 +23,10 @@
 ReplicaOptions randomOptions(base::RandomSource &random) {
   ReplicaOptions options = smallOptions();
   options.electionTimeoutMax = milliseconds(1050 + 950 * random.below(2));
+  if (random.below(2) == 0) {
+    options.firstElectionTimeoutMin = milliseconds(100);
+    options.firstElectionTimeoutMax = milliseconds(150);
+  }
   if (random.below(2) == 0) {
     options.maxEntriesPerAppend = 1;
     options.maxInFlightAppends = 1;
