Keep a drain and the answer to a stop with the life and run that they belong to

Cause 2: the answer to the stop of a stray run was taken for an answer about a newer run of the same task, which could be released while its unanswered start was still on its way (found by reading). Change: a drain lasts as long as the worker's life; both handlers share one look-up that compares the run. Tests: both fail before.

--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -304,12 +304,15 @@
     effect.changedWorkers.insert(id);
   }
   Worker &worker = this->content.workers[profile.life.id];
+  // A worker that drains never becomes ready again in the same life; a report that says so is late.
+  const bool drains = worker.profile.life == profile.life && worker.profile.draining;
   if (worker.profile.life != profile.life) {
     worker.recordedEnds = 0;
     for (auto &[task, placement] : worker.placements)
       placement.formerLife = true;
   }
   worker.profile = profile;
+  worker.profile.draining = profile.draining || drains;
   effect.changedWorkers.insert(profile.life.id);
 }
 
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -32,6 +32,15 @@
 /// A worker without tasks that is silent for this long has gone.
 constexpr base::Duration IdleSilence = std::chrono::seconds(6);
 
+/// Evidence about the placed run that an order was about; null if another run is placed there now.
+RunView *findView(const Worker &worker, WorkerSession &session, const RunKey &run) {
+  const auto view = session.runs.find(run.task);
+  const auto placement = worker.placements.find(run.task);
+  const bool isPlaced = view != session.runs.end() && placement != worker.placements.end() &&
+                        placement->second.run == run.run;
+  return isPlaced ? &view->second : nullptr;
+}
+
 } // namespace
 
 OrderTarget Dispatcher::State::targetOf(const Worker &worker) const {
@@ -255,12 +264,10 @@
   --session->callsInFlight;
   session->readClock(answer.clockMs, now);
   dispatcher.dirtyWorkers.insert(session->life.id);
-  const auto found = session->runs.find(subject->run.task);
-  const auto placement = worker->placements.find(subject->run.task);
-  if (found == session->runs.end() || placement == worker->placements.end() ||
-      placement->second.run != subject->run.run)
+  RunView *found = findView(*worker, *session, subject->run);
+  if (found == nullptr)
     return;
-  RunView &view = found->second;
+  RunView &view = *found;
   view.startInFlight = false;
   switch (answer.outcome) {
   case OrderOutcome::Accepted:
@@ -310,14 +317,16 @@
   --session->callsInFlight;
   session->readClock(answer.clockMs, now);
   dispatcher.dirtyWorkers.insert(session->life.id);
-  const auto found = session->runs.find(subject->run.task);
-  if (found == session->runs.end())
-    return;
-  RunView &view = found->second;
-  view.stopInFlight = false;
   if (answer.outcome == OrderOutcome::OtherLife) {
     dispatcher.removeWorker(*worker, *session);
-  } else if (answer.outcome == OrderOutcome::Accepted) {
+    return;
+  }
+  RunView *found = findView(*worker, *session, subject->run);
+  if (found == nullptr)
+    return; // A stray run's stop says nothing about a newer run of the task.
+  RunView &view = *found;
+  view.stopInFlight = false;
+  if (answer.outcome == OrderOutcome::Accepted) {
     view.stopAnswered = true;
     view.settledAt = now;
     session->nextHold = std::min(session->nextHold, now);
--- a/packages/jobs/tests/FakeWorker.cpp
+++ b/packages/jobs/tests/FakeWorker.cpp
@@ -41,6 +41,8 @@
     return;
   while (!this->running.empty())
     this->end(this->running.begin()->first, EndKind::Lapsed);
+  for (const TaskEnd &listed : this->ends)
+    this->outlivedLease.insert(listed.number);
 }
 
 OrderAnswer FakeWorker::start(const StartOrder &order, std::int64_t nowMs) {
@@ -128,6 +130,7 @@
   this->lastEnd = 0;
   this->barred.clear();
   this->ends.clear();
+  this->outlivedLease.clear();
 }
 
 } // namespace banyanrill::jobs::test
--- a/packages/jobs/tests/FakeWorker.h
+++ b/packages/jobs/tests/FakeWorker.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
   }
 
   WorkerProfile profile;
+  /// Numbers of listed ends after which the lease has lapsed.
+  std::set<std::uint64_t> outlivedLease;
   bool alive = true;
 
 private:
--- /dev/null
+++ b/packages/jobs/tests/StopAnswerTest.cpp
@@ -0,0 +1,101 @@
+// Guards against an answer about one run of a task that is taken for an answer about another run.
+#include "banyanrill/jobs/Dispatcher.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanrill;
+using namespace banyanrill::jobs;
+
+namespace {
+
+constexpr std::int64_t EpochMs = 1700000000000;
+
+/// One worker and one job of one task, driven by hand.
+struct HandDriven {
+  HandDriven() {
+    Configuration configuration;
+    configuration.version = 1;
+    Queue queue;
+    queue.name = "queue";
+    queue.service = "service";
+    configuration.queues = {queue};
+    WorkerProfile profile;
+    profile.life = {"w", 7};
+    profile.service = "service";
+    profile.address = "10.0.0.1:80";
+    profile.capacity = {4000, 4000, 0};
+    JobSpec spec;
+    spec.id = "job";
+    spec.steps.resize(1);
+    spec.steps[0].count = 1;
+    spec.steps[0].demand = {1000, 100, 0};
+    spec.steps[0].estimatedMs = 1000;
+    this->table.apply({EpochMs, {PutConfiguration{configuration}, RegisterWorker{profile}}});
+    this->dispatcher = std::make_unique<Dispatcher>(this->table, DispatcherOptions{5},
+                                                    base::RandomSource(1), this->now, EpochMs);
+    this->apply({AcceptJob{spec, queue}});
+  }
+
+  void apply(std::vector<Command> commands) {
+    const CommandBatch batch{EpochMs, std::move(commands)};
+    const Effect effect = this->table.apply(batch);
+    this->dispatcher->onApplied(batch, effect, this->now);
+  }
+
+  /// Commits what is proposed; returns the orders.
+  std::vector<Action> step(std::int64_t milliseconds) {
+    this->now += std::chrono::milliseconds(milliseconds);
+    std::vector<Action> orders;
+    for (Action &action : this->dispatcher->takeActions(this->now, EpochMs)) {
+      if (auto *command = std::get_if<Command>(&action))
+        this->apply({std::move(*command)});
+      else
+        orders.push_back(std::move(action));
+    }
+    return orders;
+  }
+
+  template <typename Order> const Order *find(const std::vector<Action> &orders) const {
+    for (const Action &order : orders) {
+      if (const auto *typed = std::get_if<Order>(&order))
+        return typed;
+    }
+    return nullptr;
+  }
+
+  Table table;
+  base::TimePoint now{std::chrono::seconds(100)};
+  std::unique_ptr<Dispatcher> dispatcher;
+};
+
+} // namespace
+
+TEST_GROUP(StopAnswer){};
+
+TEST(StopAnswer, OfAStrayRunSaysNothingAboutANewerRun) {
+  HandDriven cell;
+  std::vector<Action> orders = cell.step(10);
+  const HoldOrder *hold = cell.find<HoldOrder>(orders);
+  CHECK(hold != nullptr);
+  // An earlier run of the task, which the table knows nothing of, still runs there.
+  const RunKey stray{{"job", 0, 0, 0}, 1};
+  HoldAnswer listed{OrderOutcome::Accepted, 1000, 7, {{stray, "", 10, 0}}, {}};
+  cell.apply({PlaceRuns{5, {{{stray.task, 2}, "w"}}}});
+  cell.dispatcher->onHoldAnswer(hold->id, listed, cell.now);
+  orders = cell.step(10);
+  const StopOrder *stop = cell.find<StopOrder>(orders);
+  CHECK(stop != nullptr && stop->run == stray);
+  const OrderId stopId = stop->id;
+  const StartOrder *start = cell.find<StartOrder>(orders);
+  CHECK(start != nullptr && start->run.run == 2);
+  const OrderId startId = start->id;
+  cell.dispatcher->onStopAnswer(stopId, {OrderOutcome::Accepted, 1010}, cell.now);
+  // The start has no answer, so it may still be carried out.
+  cell.dispatcher->onStartAnswer(startId, {OrderOutcome::NoAnswer, {}}, cell.now);
+  orders = cell.step(40);
+  hold = cell.find<HoldOrder>(orders);
+  CHECK(hold != nullptr);
+  cell.dispatcher->onHoldAnswer(hold->id, {OrderOutcome::Accepted, 1100, 7, {}, {}}, cell.now);
+  cell.step(10);
+  CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.count(stray.task));
+}
--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -131,6 +131,18 @@
   CHECK(this->cell.table.findWorker("new") != nullptr);
 }
 
+/// A report from before, passed on late by a daemon that had waited for a leader, made a leaving worker
+/// ready again.
+TEST(Table, LateReportDoesNotEndADrain) {
+  WorkerProfile profile = profileOf("w", "10.0.0.1:80", 1);
+  profile.draining = true;
+  this->cell.apply(RegisterWorker{profile});
+  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 1)});
+  CHECK(this->cell.table.findWorker("w")->profile.draining);
+  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 2)});
+  CHECK(!this->cell.table.findWorker("w")->profile.draining);
+}
+
 TEST(Table, NewLifeUnderTheSameIdentifierKeepsItsRunsUntilTheyAreBarred) {
   this->cell.accept(makeJob("job", 1, 100, 100));
   this->cell.place({{"job", 0, 0, 0}, 1});
