Give urgent tasks to the faster workers

Slow workers (up to 6.5 times) were found only by their failures. How many late jobs ran on a slow worker was not counted. Change: the leader compares durations with estimates by queue and learns each worker's slowness; steps with less than 2 s to spare prefer fast workers, and all avoid those that take half as long again. A plan with many open steps is made less often.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -15,6 +15,9 @@
 /// Placement looks at all open steps; events that come close together share one look.
 constexpr base::Duration PlanInterval = std::chrono::milliseconds(4);
 
+/// Added for each open step, so that a long queue does not take the whole processor.
+constexpr base::Duration PlanIntervalPerStep = std::chrono::microseconds(100);
+
 /// Jobs forgotten in one command at most.
 constexpr std::size_t MaxForgotten = 64;
 
@@ -59,6 +62,22 @@
     this->ended.emplace(id, job->endedMs);
 }
 
+void Dispatcher::State::noteDuration(const WorkerSession &session, const TaskEnd &end) {
+  const auto view = session.runs.find(end.run.task);
+  const Job *job = this->table.findJob(end.run.task.job);
+  if (end.kind != EndKind::Succeeded || job == nullptr || view == session.runs.end() ||
+      view->second.startedAt == base::TimePoint::max())
+    return;
+  const Step &step = job->spec.steps[end.run.task.step];
+  const auto occurrence = job->occurrences.find(end.run.task.occurrence);
+  // The members of a gang wait for each other, and a task with a checkpoint does not begin anew.
+  if (step.gang || step.longRunning || occurrence == job->occurrences.end() ||
+      !occurrence->second.steps[end.run.task.step].tasks[end.run.task.index].checkpoint.empty())
+    return;
+  this->speeds.note(session.life.id, job->queue.name, step.estimatedMs,
+                    this->now - view->second.startedAt);
+}
+
 void Dispatcher::State::openDueOccurrences() {
   for (const std::string &id : this->timedJobs) {
     const Job *job = this->table.findJob(id);
@@ -103,6 +122,7 @@
   if (worker == nullptr) {
     this->sessions.erase(id);
     this->desk.forgetWorker(id);
+    this->speeds.forgetWorker(id);
     return;
   }
   const auto [position, isNew] = this->sessions.try_emplace(id);
@@ -142,6 +162,7 @@
       session->second.nextHold = std::max(session->second.nextHold, now);
       for (const TaskEnd &end : ends->ends) {
         session->second.noteEnd(end, now);
+        dispatcher.noteDuration(session->second, end);
         session->second.runs.erase(end.run.task);
       }
     }
@@ -244,7 +265,8 @@
     dispatcher.actions.emplace_back(Command(ReleaseRuns{std::exchange(dispatcher.releases, {})}));
   if (dispatcher.planWanted && now >= dispatcher.nextPlan) {
     dispatcher.planWanted = false;
-    dispatcher.nextPlan = now + PlanInterval;
+    dispatcher.nextPlan = now + PlanInterval +
+                          PlanIntervalPerStep * static_cast<std::int64_t>(dispatcher.queue.size());
     dispatcher.plan();
   }
   return std::exchange(dispatcher.actions, {});
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AdviceDesk.h"
+#include "SpeedTable.h"
 #include "StepQueue.h"
 #include "WorkerSession.h"
 #include "banyanrill/jobs/Dispatcher.h"
@@ -41,6 +42,7 @@
   base::TimePoint nextSweep = base::TimePoint::min();
   StepQueue queue;
   AdviceDesk desk;
+  SpeedTable speeds;
   std::map<TaskKey, PendingRun> pending;
   std::unordered_map<OrderId, OrderSubject> orders;
   std::map<StepKey, std::uint32_t> abandonedGangs; ///< Runs of gangs that did not start together.
@@ -57,6 +59,7 @@
 
   // Jobs.
   void refreshJob(const std::string &id);
+  void noteDuration(const WorkerSession &session, const TaskEnd &end);
   void openDueOccurrences();
   void forgetEndedJobs();
 
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -25,6 +25,16 @@
 /// Starts of runs that wait for a free channel, for each worker.
 constexpr std::uint32_t MaxOrdersWaiting = 12;
 
+/// A worker that needs half as long again, or more, gets a task only if no other has room.
+constexpr double MuchSlower = 0.4;
+constexpr double MuchSlowerMalus = 2;
+
+/// A step whose job can wait less than this should be done by a fast worker.
+constexpr base::Duration TightSlack = std::chrono::seconds(2);
+
+/// Weight of a worker's speed for such a step, against how well a worker is filled.
+constexpr double SpeedWeight = 2;
+
 bool hasLabel(const WorkerProfile &profile, const std::string &label) {
   return std::find(profile.labels.begin(), profile.labels.end(), label) != profile.labels.end();
 }
@@ -155,6 +165,11 @@
       1.0 - left / static_cast<double>(std::max<std::int64_t>(profile.capacity.millicores, 1));
   if (!open.step->dataRack.empty() && profile.rack == open.step->dataRack)
     score += 2;
+  const double slowness = this->speeds.slowness(session.life.id);
+  if (slowness > MuchSlower)
+    score -= MuchSlowerMalus;
+  if (open.latestStart - open.due < TightSlack)
+    score -= SpeedWeight * slowness;
   // A task that failed there may have failed because of the worker.
   if (task.failures > 0 && task.worker == session.life.id)
     score -= 4;
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -84,6 +84,7 @@
   if (job.spec.repeatCount > 0)
     due +=
         milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
+  open.due = due;
   const std::int64_t aim = aimOf(job);
   const base::Duration chain = milliseconds(chainFrom(job.spec, key.step));
   open.latestStart = due + milliseconds(aim) - chain;
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -15,6 +15,7 @@
   const Job *job = nullptr;
   const Step *step = nullptr;
   const StepProgress *progress = nullptr;
+  base::TimePoint due;            ///< When the job, or its occurrence, came.
   base::TimePoint latestStart;    ///< After this the job misses its aim.
   base::TimePoint worthlessAfter; ///< After this its end is worth nothing any more.
   std::uint32_t waiting = 0;      ///< Tasks that are not placed.
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -271,6 +271,9 @@
   view.startInFlight = false;
   switch (answer.outcome) {
   case OrderOutcome::Accepted:
+    if (view.startsSent == 1)
+      view.startedAt = now;
+    [[fallthrough]];
   case OrderOutcome::OldRun:
     view.startAnswered = true;
     view.settledAt = now;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -30,6 +30,7 @@
   std::string checkpoint; ///< Last one seen.
   std::uint32_t percent = 0;
   std::int64_t load = 0;
+  base::TimePoint startedAt = base::TimePoint::max(); ///< If its first order to start was answered.
   base::TimePoint progressAt = base::TimePoint::min(); ///< When `percent` last changed.
 };
 
