--- a/packages/node/src/Leading.cpp
+++ b/packages/node/src/Leading.cpp
@@ -222,6 +222,8 @@
     const jobs::Job *job = this->group->table().findJob(id);
     if (job == nullptr)
       continue;
+    this->figures.jobTimes[std::string(jobs::nameOf(job->phase))].note(
+        std::chrono::milliseconds(job->endedMs - job->acceptedMs));
     base::logEvent(base::Event::JobEnded, {{"job", id},
                                            {"queue", job->queue.name},
                                            {"outcome", std::string(jobs::nameOf(job->phase))},
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -4,6 +4,7 @@
 
 #include "Group.h"
 #include "Steward.h"
+#include "banyanrill/base/LatencyHistogram.h"
 #include "banyanrill/jobs/Dispatcher.h"
 #include "banyanrill/membership/Roster.h"
 #include "banyanrill/node/Node.h"
@@ -61,6 +62,9 @@
   std::uint64_t forwarded = 0;
   std::uint64_t peerCallsFailed = 0;
   std::uint64_t leaderships = 0;
+  std::map<std::string, base::LatencyHistogram> answerTimes; ///< By request.
+  std::map<std::string, base::LatencyHistogram> orderTimes;  ///< By order; answered ones only.
+  std::map<std::string, base::LatencyHistogram> jobTimes;    ///< From hand-in to end, by outcome.
 };
 
 struct Node::State {
--- a/packages/node/src/Ordering.cpp
+++ b/packages/node/src/Ordering.cpp
@@ -2,6 +2,8 @@
 #include "NodeState.h"
 #include "banyanrill/base/EventLog.h"
 
+#include <array>
+
 namespace banyanrill::node {
 
 namespace {
@@ -50,6 +52,11 @@
                    {{"worker", hold->target.worker}, {"outcome", text}});
 }
 
+std::string_view nameOf(const jobs::WorkerOrder &order) {
+  static constexpr std::array<std::string_view, 4> Names = {"start", "stop", "hold", "pace"};
+  return Names.at(order.index());
+}
+
 jobs::OrderId idOf(const jobs::WorkerOrder &order) {
   return std::visit([](const auto &typed) { return typed.id; }, order);
 }
@@ -79,14 +86,16 @@
     request = this->dialect.pace(*pace);
   else
     request = this->dialect.hold(std::get<jobs::HoldOrder>(order));
-  this->call(std::move(request),
-             [this, order, isHold, done = std::move(done)](const http::CallResult &result) {
-               const jobs::WorkerAnswer answer =
-                   isHold ? jobs::WorkerAnswer(this->dialect.holdAnswer(result))
-                          : jobs::WorkerAnswer(this->dialect.orderAnswer(result));
-               logOrder(order, answer);
-               done(answer);
-             });
+  this->call(std::move(request), [this, order, isHold, sent = this->now,
+                                  done = std::move(done)](const http::CallResult &result) {
+    const jobs::WorkerAnswer answer = isHold
+                                          ? jobs::WorkerAnswer(this->dialect.holdAnswer(result))
+                                          : jobs::WorkerAnswer(this->dialect.orderAnswer(result));
+    if (result.verdict == base::Verdict::Ran)
+      this->figures.orderTimes[std::string(nameOf(order))].note(this->now - sent);
+    logOrder(order, answer);
+    done(answer);
+  });
 }
 
 void Node::State::onWorkerAnswer(jobs::OrderId id, bool isStart, const jobs::WorkerAnswer &answer) {
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -194,6 +194,7 @@
   const OpenRequest &request = found->second;
   const std::string_view name = jobs::nameOf(request.request);
   ++this->figures.replies[std::string(name) + '/' + std::string(jobs::nameOf(reply.code))];
+  this->figures.answerTimes[std::string(name)].note(this->now - request.received);
   const bool routine = std::holds_alternative<jobs::StateRequest>(request.request) ||
                        std::holds_alternative<jobs::WorkerReport>(request.request);
   if (!routine || reply.code != jobs::ReplyCode::Done) {
@@ -236,6 +237,14 @@
     text << "banyanrill_replies_total{request=\"" << key.substr(0, slash) << "\",outcome=\""
          << key.substr(slash + 1) << "\"} " << count << '\n';
   }
+  const auto histograms = [&text](const std::string &name, const std::string &label,
+                                  const std::map<std::string, base::LatencyHistogram> &all) {
+    for (const auto &[value, histogram] : all)
+      text << histogram.text("banyanrill_" + name, label + "=\"" + value + '"');
+  };
+  histograms("request_seconds", "request", this->figures.answerTimes);
+  histograms("order_seconds", "order", this->figures.orderTimes);
+  histograms("job_seconds", "outcome", this->figures.jobTimes);
   if (!this->dispatcher)
     return text.str();
   const jobs::DispatcherFigures leader = this->dispatcher->figures();
