--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -216,6 +216,23 @@
   this->sleptMs = slept;
 }
 
+void Node::State::logLeader() {
+  const std::optional<membership::KnownLeader> leader = this->roster->leader();
+  const bool isSame = leader.has_value() == this->loggedLeader.has_value() &&
+                      (!leader || leader->term == this->loggedLeader->term);
+  if (isSame)
+    return;
+  if (leader)
+    base::logEvent(base::Event::LeaderKnown, {{"leader", std::to_string(leader->id)},
+                                              {"term", std::to_string(leader->term)},
+                                              {"address", leader->address}});
+  else
+    base::logEvent(base::Event::LeaderUnknown,
+                   {{"former", std::to_string(this->loggedLeader->id)},
+                    {"term", std::to_string(this->loggedLeader->term)}});
+  this->loggedLeader = leader;
+}
+
 void Node::State::onWake() {
   this->now = base::steadyNow();
   if (this->now < this->nextWake) {
@@ -224,6 +241,7 @@
     return;
   }
   this->noticeSuspension();
+  this->logLeader();
   if (this->group) {
     this->group->tick(this->now);
     if (this->roster->isFounding())
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -102,6 +102,7 @@
   base::TimePoint lastContact = base::TimePoint::min(); ///< With a leader.
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextSteward = base::TimePoint::min();
+  std::optional<membership::KnownLeader> loggedLeader; ///< As the last line in the log says.
   std::int64_t sleptMs = 0; ///< Time that the machine was suspended, so far.
   NodeFigures figures;
 
@@ -114,6 +115,7 @@
   void onWake();
   void relay();
   void noticeSuspension();
+  void logLeader();
   static std::int64_t wallClockMs();
 
   // Requests of callers, workers and operators.
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -230,6 +230,7 @@
   line("peer_calls_failed_total", this->figures.peerCallsFailed);
   line("leaderships_total", this->figures.leaderships);
   line("leads", this->group && this->group->leads() ? 1 : 0);
+  line("knows_leader", this->roster->leader() ? 1 : 0);
   line("log_lines_dropped_total", base::droppedLogLines());
   line("term", this->group ? this->group->term() : this->seenTerm);
   for (const auto &[key, count] : this->figures.replies) {
