--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -131,8 +131,8 @@
   CHECK(this->cell.table.findWorker("new") != nullptr);
 }
 
-/// A report from before, passed on late by a daemon that had waited for a leader, made a leaving worker
-/// ready again.
+/// A report from before, passed on late by a daemon that had waited for a leader, made a leaving
+/// worker ready again.
 TEST(Table, LateReportDoesNotEndADrain) {
   WorkerProfile profile = profileOf("w", "10.0.0.1:80", 1);
   profile.draining = true;
