--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -238,14 +238,17 @@
     text << "banyanrill_replies_total{request=\"" << key.substr(0, slash) << "\",outcome=\""
          << key.substr(slash + 1) << "\"} " << count << '\n';
   }
-  const auto histograms = [&text](const std::string &name, const std::string &label,
+  const auto histograms = [&text](const char *name, const char *label,
                                   const std::map<std::string, base::LatencyHistogram> &all) {
-    for (const auto &[value, histogram] : all)
-      text << histogram.text("banyanrill_" + name, label + "=\"" + value + '"');
+    for (const auto &[value, histogram] : all) {
+      std::string labels = label;
+      labels.append("=\"").append(value).append("\"");
+      text << histogram.text(name, labels);
+    }
   };
-  histograms("request_seconds", "request", this->figures.answerTimes);
-  histograms("order_seconds", "order", this->figures.orderTimes);
-  histograms("job_seconds", "outcome", this->figures.jobTimes);
+  histograms("banyanrill_request_seconds", "request", this->figures.answerTimes);
+  histograms("banyanrill_order_seconds", "order", this->figures.orderTimes);
+  histograms("banyanrill_job_seconds", "outcome", this->figures.jobTimes);
   if (!this->dispatcher)
     return text.str();
   const jobs::DispatcherFigures leader = this->dispatcher->figures();
--- /dev/null
+++ b/tests/soak/Proxy.h
@@ -0,0 +1,43 @@
+// A TCP proxy on loopback that harms the connections through it.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace banyanrill::soak {
+
+enum class LinkFault : int {
+  None,
+  Delayed,    ///< Bytes wait 150 ms.
+  Reset,      ///< Open connections are reset; new ones work.
+  NoAnswers,  ///< Bytes towards the caller are held back.
+  NoRequests, ///< Bytes towards the server are held back.
+  Silent,     ///< Open connections carry nothing any more, for good; new ones work.
+};
+
+/// Forwards one port of 127.0.0.1 to one server. All member functions are thread-safe.
+class Proxy {
+public:
+  Proxy(std::string serverAddress, std::uint16_t serverPort);
+  ~Proxy();
+  Proxy(const Proxy &) = delete;
+  Proxy &operator=(const Proxy &) = delete;
+
+  std::uint16_t port() const { return this->listenPort; }
+  void setFault(LinkFault next) { this->fault = next; }
+
+private:
+  void run();
+
+  std::string address;
+  std::uint16_t target;
+  int listener = -1;
+  std::uint16_t listenPort = 0;
+  std::atomic<LinkFault> fault = LinkFault::None;
+  std::atomic<bool> stopping = false;
+  std::thread thread;
+};
+
+} // namespace banyanrill::soak
--- /dev/null
+++ b/tests/soak/Soak.cpp
@@ -0,0 +1,358 @@
+// soak SEED SECONDS PROGRAM: runs real daemons as processes of their own, injects faults from
+// outside and checks the promises that callers and workers see: what was accepted is known and
+// ends, no task runs twice, and the configuration is never older than one that was acknowledged.
+// Exit code 1: a promise was broken; the folder with the logs is kept and named.
+#include "FakePlatform.h"
+#include "Machines.h"
+#include "Proxy.h"
+#include "banyanrill/base/RandomSource.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <unistd.h>
+
+using namespace banyanrill;
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t Disks = 3;
+constexpr std::size_t Machines = 5;
+constexpr std::size_t Workers = 4;
+
+/// A machine that was lost counts as lost until it has caught up.
+constexpr seconds CatchUp(4);
+
+/// An accepted job is known everywhere, and a change in force, after this time.
+constexpr milliseconds VisibleAfter(3000);
+
+/// All jobs have ended this long after the last fault.
+constexpr seconds SettleTime(30);
+
+constexpr milliseconds CallTimeout(2000);
+
+/// Pauses between two faults, and the longest time that a machine is down or stands still.
+constexpr std::uint64_t MaxPauseMs = 1500;
+constexpr std::uint64_t MaxDownMs = 2500;
+
+struct AcceptedJob {
+  Clock::time_point at;
+  bool isDone = false;
+};
+
+class Soak {
+public:
+  Soak(std::uint64_t seed, const std::string &program) : random(seed) {
+    std::string name = "/tmp/banyanrill-soak-" + std::to_string(seed) + "-XXXXXX";
+    this->folder = mkdtemp(name.data());
+    const std::vector<std::uint16_t> free = platform::test::freePorts(4);
+    const soak::Ports ports{free[0], free[1], free[2], free[3]};
+    for (std::size_t index = 0; index < Machines; ++index) {
+      this->machines.push_back(
+          std::make_unique<soak::Machine>(program, this->folder / std::to_string(index), index,
+                                          index < Disks, ports, this->users.advisoryService()));
+      this->fronts.push_back(
+          std::make_unique<soak::Proxy>(this->machines.back()->ip(), ports.front));
+    }
+    this->control = ports.control;
+    for (std::size_t index = 0; index < Disks; ++index)
+      this->seeds.push_back(this->machines[index]->controlAddress());
+    for (const auto &machine : this->machines)
+      machine->start(this->seeds, true);
+    this->client = std::move(http::Client::start().value());
+  }
+
+  int run(seconds duration) {
+    if (!this->eventually([this] { return this->configure(); }, seconds(15)))
+      this->fail("no configuration was acknowledged within 15 s of the start");
+    const auto end = Clock::now() + duration;
+    while (Clock::now() < end && this->broken.empty()) {
+      this->step();
+      this->harm();
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    this->heal();
+    const bool ended = this->eventually([this] { return this->allDone(); }, SettleTime);
+    if (!ended)
+      this->fail("an accepted job did not end: " + this->firstOpenJob());
+    for (const std::string &violation : this->users.violations())
+      this->fail(violation);
+    std::printf("%zu jobs accepted, %zu faults, configuration %d, %zu starts\n", this->jobs.size(),
+                this->faults, this->acknowledged, this->users.starts());
+    for (const std::string &fault : this->broken)
+      std::printf("broken: %s\n", fault.c_str());
+    if (this->broken.empty())
+      std::filesystem::remove_all(this->folder);
+    else
+      std::printf("logs: %s\n", this->folder.c_str());
+    return this->broken.empty() ? 0 : 1;
+  }
+
+private:
+  void fail(const std::string &text) { this->broken.push_back(text); }
+
+  template <typename Condition> bool eventually(Condition condition, seconds limit) {
+    const auto end = Clock::now() + limit;
+    while (Clock::now() < end) {
+      if (condition())
+        return true;
+      this->reportWorkers();
+      this->watch();
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    return false;
+  }
+
+  http::CallResult call(const std::string &host, std::uint16_t port, const std::string &method,
+                        const std::string &path, const std::string &body = {}) {
+    http::Call call;
+    call.host = host;
+    call.port = port;
+    call.request.method = method;
+    call.request.path = path;
+    call.request.body = body;
+    call.timeout = CallTimeout;
+    return this->client->call(call);
+  }
+
+  http::CallResult callFront(const std::string &method, const std::string &path,
+                             const std::string &body = {}) {
+    return this->call("127.0.0.1", this->fronts[this->random.below(Machines)]->port(), method, path,
+                      body);
+  }
+
+  http::CallResult callControl(const std::string &method, const std::string &path,
+                               const std::string &body = {}) {
+    return this->call(this->machines[this->random.below(Machines)]->ip(), this->control, method,
+                      path, body);
+  }
+
+  void step() {
+    this->reportWorkers();
+    this->watch();
+    this->submit();
+    this->ask();
+    if (this->random.below(15) == 0)
+      this->configure();
+    this->readConfiguration();
+  }
+
+  void reportWorkers() {
+    const std::size_t index = this->nextWorker++ % Workers;
+    const auto [id, body] = this->users.report(index);
+    this->callControl("PUT", "/v1/instances/" + id, body);
+  }
+
+  void submit() {
+    std::array<char, 17> id = {};
+    std::snprintf(id.data(), id.size(), "%016zx", ++this->lastJob);
+    const json body = {{"TaskSpec", "t"},
+                       {"Steps",
+                        {{{"Count", 1 + this->random.below(4)}, {"Cpu", 500}, {"EstimatedMs", 150}},
+                         {{"Count", 1}, {"Cpu", 500}, {"EstimatedMs", 150}, {"After", {0}}}}}};
+    const http::CallResult result =
+        this->callFront("POST", "/q/" + std::string(id.data()), body.dump());
+    if (result.verdict == base::Verdict::Ran && result.response.status == 200)
+      this->jobs[id.data()] = {Clock::now(), false};
+  }
+
+  bool askAbout(const std::string &id, AcceptedJob &job) {
+    const bool mustBeKnown = Clock::now() - job.at > VisibleAfter;
+    const http::CallResult result = this->callFront("GET", "/q/" + id);
+    if (result.verdict != base::Verdict::Ran)
+      return false;
+    if (mustBeKnown && (result.response.status == 410 || result.response.status == 404))
+      this->fail("an accepted job is not known: " + id);
+    if (result.response.status != 200)
+      return false;
+    const std::string state = json::parse(result.response.body).value("State", std::string());
+    if (state == "failed" || state == "cancelled")
+      this->fail("a job that nobody cancelled is shown as " + state + ": " + id);
+    job.isDone = state == "done";
+    return job.isDone;
+  }
+
+  void ask() {
+    if (this->jobs.empty())
+      return;
+    auto position = this->jobs.begin();
+    std::advance(position, static_cast<std::ptrdiff_t>(this->random.below(this->jobs.size())));
+    this->askAbout(position->first, position->second);
+  }
+
+  bool allDone() {
+    for (auto &[id, job] : this->jobs) {
+      if (!job.isDone && !this->askAbout(id, job))
+        return false;
+    }
+    return true;
+  }
+
+  std::string firstOpenJob() const {
+    for (const auto &[id, job] : this->jobs) {
+      if (!job.isDone)
+        return id;
+    }
+    return "none";
+  }
+
+  bool configure() {
+    const json body = {
+        {"Version", ++this->lastVersion},
+        {"Routes",
+         {{{"Name", "q"},
+           {"Host", "127.0.0.1"},
+           {"PathPrefix", "/q/"},
+           {"TimeoutMs", 3000 + this->lastVersion},
+           {"Service", "svc"},
+           {"MaxAttempts", 2},
+           {"Stretch", 2.0},
+           {"Advice", {{"DecideMs", 5.0}, {"PeriodMs", 0.1}, {"ValidityMs", 2000}}}}}},
+        {"Services", {{{"Name", "svc"}}}}};
+    const http::CallResult result = this->callControl("PUT", "/v1/config", body.dump());
+    if (result.verdict != base::Verdict::Ran || result.response.status != 200)
+      return false;
+    this->acknowledged = this->lastVersion;
+    this->acknowledgedAt = Clock::now();
+    return true;
+  }
+
+  void readConfiguration() {
+    const bool mustBeInForce = Clock::now() - this->acknowledgedAt > VisibleAfter;
+    const http::CallResult result = this->callControl("GET", "/v1/config");
+    if (result.verdict != base::Verdict::Ran || result.response.status != 200 || !mustBeInForce)
+      return;
+    const int version = json::parse(result.response.body).value("Version", 0);
+    if (version < this->acknowledged)
+      this->fail("configuration " + std::to_string(version) + " is read after " +
+                 std::to_string(this->acknowledged) + " was acknowledged");
+  }
+
+  /// Starts processes that have ended, as the platform does.
+  void watch() {
+    const auto now = Clock::now();
+    for (std::size_t index = 0; index < Machines; ++index) {
+      soak::Machine &machine = *this->machines[index];
+      if (machine.isPaused && now >= this->resumeAt[index]) {
+        machine.signal(SIGCONT);
+        machine.isPaused = false;
+        machine.upSince = now;
+      }
+      if (!machine.isAlive() && now >= this->resumeAt[index])
+        machine.start(this->seeds, false);
+      if (machine.endedByItself() && this->reported.insert(index).second)
+        this->fail("process " + std::to_string(index) + " ended by itself");
+    }
+  }
+
+  /// Whether another machine with a disk is lost or still catching up.
+  bool aDiskIsLost(std::size_t except) {
+    for (std::size_t index = 0; index < Disks; ++index) {
+      soak::Machine &machine = *this->machines[index];
+      if (index != except && (!machine.isAlive() || machine.isPaused || machine.isTold ||
+                              Clock::now() - machine.upSince < CatchUp))
+        return true;
+    }
+    return false;
+  }
+
+  void harm() {
+    if (Clock::now() < this->nextFault)
+      return;
+    this->nextFault = Clock::now() + milliseconds(this->random.below(MaxPauseMs));
+    ++this->faults;
+    const std::size_t index = this->random.below(Machines);
+    if (this->random.below(3) == 0) {
+      this->fronts[index]->setFault(static_cast<soak::LinkFault>(this->random.below(6)));
+      return;
+    }
+    if (this->random.below(25) == 0) {
+      // All processes at once; their disks stay.
+      for (std::size_t each = 0; each < Machines; ++each) {
+        this->machines[each]->kill();
+        this->resumeAt[each] = Clock::now() + milliseconds(500);
+      }
+      return;
+    }
+    soak::Machine &machine = *this->machines[index];
+    if (!machine.isAlive() || machine.isPaused || machine.isTold ||
+        (machine.hasDisk && this->aDiskIsLost(index)))
+      return;
+    this->resumeAt[index] = Clock::now() + milliseconds(100 + this->random.below(MaxDownMs));
+    switch (this->random.below(5)) {
+    case 0:
+      machine.kill();
+      return;
+    case 1:
+      machine.signal(SIGSTOP);
+      machine.isPaused = true;
+      return;
+    case 2:
+      machine.isTold = true;
+      machine.signal(SIGTERM);
+      return;
+    case 3:
+      machine.signal(SIGHUP);
+      return;
+    default:
+      machine.kill();
+      machine.wipeDisk();
+      return;
+    }
+  }
+
+  void heal() {
+    for (const auto &front : this->fronts)
+      front->setFault(soak::LinkFault::None);
+    this->resumeAt = {};
+    this->watch();
+  }
+
+  base::RandomSource random;
+  std::filesystem::path folder;
+  platform::test::FakePlatform users{Workers};
+  std::vector<std::unique_ptr<soak::Machine>> machines;
+  std::vector<std::unique_ptr<soak::Proxy>> fronts;
+  std::vector<std::string> seeds;
+  std::uint16_t control = 0;
+  std::unique_ptr<http::Client> client;
+  std::map<std::string, AcceptedJob> jobs;
+  std::array<Clock::time_point, Machines> resumeAt = {};
+  Clock::time_point nextFault = Clock::now() + seconds(2);
+  std::set<std::size_t> reported;
+  std::vector<std::string> broken;
+  std::size_t faults = 0;
+  std::size_t lastJob = 0;
+  std::size_t nextWorker = 0;
+  int lastVersion = 0;
+  int acknowledged = 0;
+  Clock::time_point acknowledgedAt = Clock::now();
+};
+
+bool readNumber(const std::string &text, std::uint64_t &value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::uint64_t seed = 0;
+  std::uint64_t duration = 0;
+  if (argc != 4 || !readNumber(argv[1], seed) || !readNumber(argv[2], duration)) {
+    std::fprintf(stderr, "usage: soak SEED SECONDS PROGRAM\n");
+    return 2;
+  }
+  return Soak(seed, argv[3]).run(seconds(duration));
+}
