--- a/packages/consensus/include/banyanrill/consensus/Replica.h
+++ b/packages/consensus/include/banyanrill/consensus/Replica.h
@@ -21,9 +21,9 @@
   /// the 3.6 s within which urgent work starts.
   base::Duration electionTimeoutMin = std::chrono::milliseconds(1000);
   base::Duration electionTimeoutMax = std::chrono::milliseconds(2000);
-  /// The same until a replica has heard of a leader since its start: after a loss of power of all
-  /// there is none to wait for, and a leader that exists is not disturbed, since its followers
-  /// refuse.
+  /// The same for the first attempts of a replica that has heard of no leader since its start:
+  /// after a loss of power of all there is none to wait for, and a leader that exists is not
+  /// disturbed, since its followers refuse.
   base::Duration firstElectionTimeoutMin = std::chrono::milliseconds(1000);
   base::Duration firstElectionTimeoutMax = std::chrono::milliseconds(2000);
   std::size_t maxEntriesPerAppend = 256;
--- a/packages/consensus/src/Election.cpp
+++ b/packages/consensus/src/Election.cpp
@@ -56,6 +56,8 @@
   state.role = Role::PreCandidate;
   state.leader = base::NoDaemon;
   state.votes.clear();
+  if (!state.hasHeardLeader)
+    ++state.earlyPreVotes;
   resetElectionDeadline(state);
   requestFromVoters(state, MessageKind::PreVoteRequest, state.hardState.term + 1);
   countVote(state, state.options.self);
--- a/packages/consensus/src/ReplicaState.cpp
+++ b/packages/consensus/src/ReplicaState.cpp
@@ -117,11 +117,14 @@
 }
 
 void resetElectionDeadline(ReplicaState &state) {
+  // On a network slower than the short timeouts no early vote would ever be complete.
+  constexpr std::uint32_t MaxEarlyPreVotes = 8;
   const ReplicaOptions &options = state.options;
+  const bool isEarly = !state.hasHeardLeader && state.earlyPreVotes < MaxEarlyPreVotes;
   const base::Duration least =
-      state.hasHeardLeader ? options.electionTimeoutMin : options.firstElectionTimeoutMin;
+      isEarly ? options.firstElectionTimeoutMin : options.electionTimeoutMin;
   const base::Duration most =
-      state.hasHeardLeader ? options.electionTimeoutMax : options.firstElectionTimeoutMax;
+      isEarly ? options.firstElectionTimeoutMax : options.electionTimeoutMax;
   const auto extra = state.random.below(static_cast<std::uint64_t>((most - least).count()));
   state.electionDeadline =
       state.now + least + base::Duration(static_cast<base::Duration::rep>(extra));
--- a/packages/consensus/src/ReplicaState.h
+++ b/packages/consensus/src/ReplicaState.h
@@ -54,6 +54,8 @@
   ReplicaId leader = base::NoDaemon;
   base::TimePoint lastLeaderContact{};
   bool hasHeardLeader = false; ///< Since the start, or has led.
+  /// Pre-votes begun since the start before a leader was heard of.
+  std::uint32_t earlyPreVotes = 0;
   base::TimePoint electionDeadline{};
 
   // Candidates.
