Keep no more standbys of the group than voters may be lost

Ruled out: a lost leader (none of the events 2001 and 2002 after 7.4 s), a failing disk (no 2003). Change: the leader adds a learner only while fewer live ones stand by than voters may be lost.

--- a/packages/node/src/Steward.cpp
+++ b/packages/node/src/Steward.cpp
@@ -20,6 +20,12 @@
   ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
 }
 
+bool canBecomeVoter(const membership::Roster &roster, consensus::ReplicaId id,
+                    base::TimePoint now) {
+  const membership::PeerRecord *peer = roster.find(id);
+  return peer != nullptr && !peer->stopping && roster.isLive(id, now, LostAfter);
+}
+
 } // namespace
 
 std::optional<consensus::Membership> Steward::next(const consensus::Membership &current,
@@ -27,8 +33,14 @@
                                                    base::DaemonId self, std::size_t voterCount,
                                                    base::TimePoint now) const {
   consensus::Membership changed = current;
-  // A node with a disk that is no member yet.
+  // A node with a disk that is no member yet. Each learner costs the leader as much as a voter.
+  const auto standbys = static_cast<std::size_t>(
+      std::count_if(current.learners.begin(), current.learners.end(),
+                    [&](consensus::ReplicaId id) { return canBecomeVoter(roster, id, now); }));
+  const std::size_t wantedStandbys = std::max<std::size_t>(voterCount / 2, 1);
   for (const membership::PeerRecord &peer : roster.live(now, LostAfter)) {
+    if (standbys >= wantedStandbys)
+      break;
     if (!peer.hasDisk || contains(current.voters, peer.id) || contains(current.learners, peer.id))
       continue;
     changed.learners.push_back(peer.id);
@@ -42,8 +54,7 @@
   const std::size_t liveVoters = current.voters.size() - lost.size();
   if (liveVoters < voterCount) {
     for (const consensus::ReplicaId id : current.learners) {
-      const membership::PeerRecord *peer = roster.find(id);
-      if (!roster.isLive(id, now, LostAfter) || peer == nullptr || peer->stopping)
+      if (!canBecomeVoter(roster, id, now))
         continue;
       remove(changed.learners, id);
       changed.voters.push_back(id);
--- a/packages/node/tests/StewardTest.cpp
+++ b/packages/node/tests/StewardTest.cpp
@@ -56,3 +56,13 @@
 TEST(Steward, LostVoterWithoutASuccessorStays) { CHECK(!nextFor({{1, 2, 3}, {}}, {2})); }
 
 TEST(Steward, LearnerWaitsWhileAllVotersLive) { CHECK(!nextFor({{1, 2, 3}, {4}}, {2, 3, 4})); }
+
+/// Six machines with a disk were added at once; copying the log to all of them took the leader's
+/// time.
+TEST(Steward, SpareDisksBeyondTheToleranceStayOutside) {
+  CHECK(!nextFor({{1, 2, 3}, {4}}, {2, 3, 4, 5, 6}));
+  // A learner that does not live is no standby.
+  const auto next = nextFor({{1, 2, 3}, {4}}, {2, 3, 5});
+  CHECK(next.has_value());
+  CHECK((next->learners == std::vector<consensus::ReplicaId>{4, 5}));
+}
