--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -81,6 +81,9 @@
   /// Worker and session of an answered order if both are still of the life it was meant for.
   std::pair<const Worker *, WorkerSession *> find(const WorkerLife &life);
   std::optional<OrderSubject> takeOrder(OrderId id);
+  /// What every answer to a start or a stop tells. \returns as `find`; null for no subject.
+  std::pair<const Worker *, WorkerSession *> noteAnswer(const std::optional<OrderSubject> &subject,
+                                                        const OrderAnswer &answer);
   void judgeRuns(const Worker &worker, WorkerSession &session, const HoldAnswer &answer);
 
   // Placement.
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -252,18 +252,27 @@
   this->sendStart(worker, session, run, view);
 }
 
+std::pair<const Worker *, WorkerSession *>
+Dispatcher::State::noteAnswer(const std::optional<OrderSubject> &subject,
+                              const OrderAnswer &answer) {
+  if (!subject)
+    return {nullptr, nullptr};
+  const auto found = this->find(subject->worker);
+  if (WorkerSession *session = found.second; session != nullptr) {
+    --session->callsInFlight;
+    session->readClock(answer.clockMs, this->now);
+    this->dirtyWorkers.insert(session->life.id);
+  }
+  return found;
+}
+
 void Dispatcher::onStartAnswer(OrderId order, const OrderAnswer &answer, base::TimePoint now) {
   State &dispatcher = *this->state;
   dispatcher.now = now;
   const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
-  if (!subject)
-    return;
-  const auto [worker, session] = dispatcher.find(subject->worker);
+  const auto [worker, session] = dispatcher.noteAnswer(subject, answer);
   if (session == nullptr)
     return;
-  --session->callsInFlight;
-  session->readClock(answer.clockMs, now);
-  dispatcher.dirtyWorkers.insert(session->life.id);
   RunView *found = findView(*worker, *session, subject->run);
   if (found == nullptr)
     return;
@@ -312,14 +321,9 @@
   State &dispatcher = *this->state;
   dispatcher.now = now;
   const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
-  if (!subject)
-    return;
-  const auto [worker, session] = dispatcher.find(subject->worker);
+  const auto [worker, session] = dispatcher.noteAnswer(subject, answer);
   if (session == nullptr)
     return;
-  --session->callsInFlight;
-  session->readClock(answer.clockMs, now);
-  dispatcher.dirtyWorkers.insert(session->life.id);
   if (answer.outcome == OrderOutcome::OtherLife) {
     dispatcher.removeWorker(*worker, *session);
     return;
