--- a/packages/http/tests/StopWithCallsTest.cpp
+++ b/packages/http/tests/StopWithCallsTest.cpp
@@ -8,6 +8,24 @@
 using namespace banyanrill::http;
 using banyanrill::base::Verdict;
 
+namespace {
+
+/// A loop that only calls, and counts the results.
+struct CountingClient {
+  CountingClient() {
+    LoopHandlers handlers;
+    handlers.onCallResult = [this](CallId, const CallResult &) { ++this->results; };
+    LoopOptions options;
+    options.serve = false;
+    this->loop = std::move(Loop::start(options, handlers).value());
+  }
+
+  std::atomic<int> results = 0;
+  std::unique_ptr<Loop> loop; ///< Last member: its thread uses the others.
+};
+
+} // namespace
+
 TEST_GROUP(StopWithCalls){};
 
 TEST(StopWithCalls, ThatWaitForAnAnswer) {
@@ -22,47 +40,32 @@
 
 TEST(StopWithCalls, ThatUseAnIdleConnection) {
   const test::TestServer server(test::echo);
-  LoopHandlers handlers;
-  std::atomic<int> results = 0;
-  handlers.onCallResult = [&](CallId, const CallResult &) { ++results; };
-  LoopOptions options;
-  options.serve = false;
-  auto loop = std::move(Loop::start(options, handlers).value());
-  loop->call(test::callTo(*server.loop, "GET", "/"));
-  CHECK(test::eventually([&] { return results.load() == 1; }));
-  loop->call(test::callTo(*server.loop, "GET", "/"));
-  loop.reset();
-  LONGS_EQUAL(2, results.load());
+  CountingClient client;
+  client.loop->call(test::callTo(*server.loop, "GET", "/"));
+  CHECK(test::eventually([&] { return client.results.load() == 1; }));
+  client.loop->call(test::callTo(*server.loop, "GET", "/"));
+  client.loop.reset();
+  LONGS_EQUAL(2, client.results.load());
 }
 
 TEST(StopWithCalls, ThatConnect) {
   const test::TestServer server(test::echo);
-  LoopHandlers handlers;
-  std::atomic<int> results = 0;
-  handlers.onCallResult = [&](CallId, const CallResult &) { ++results; };
-  LoopOptions options;
-  options.serve = false;
-  auto loop = std::move(Loop::start(options, handlers).value());
+  CountingClient client;
   for (int index = 0; index < 20; ++index)
-    loop->call(test::callTo(*server.loop, "GET", "/"));
-  loop.reset();
-  LONGS_EQUAL(20, results.load());
+    client.loop->call(test::callTo(*server.loop, "GET", "/"));
+  client.loop.reset();
+  LONGS_EQUAL(20, client.results.load());
 }
 
 TEST(StopWithCalls, ThatMeetAServerThatStopped) {
   auto server = std::make_unique<test::TestServer>(test::echo);
   const std::uint16_t port = server->loop->port();
-  LoopHandlers handlers;
-  std::atomic<int> results = 0;
-  handlers.onCallResult = [&](CallId, const CallResult &) { ++results; };
-  LoopOptions options;
-  options.serve = false;
-  auto loop = std::move(Loop::start(options, handlers).value());
+  CountingClient client;
   for (int index = 0; index < 20; ++index)
-    loop->call(test::callTo(port, "GET", "/"));
-  CHECK(test::eventually([&] { return results.load() == 20; }));
+    client.loop->call(test::callTo(port, "GET", "/"));
+  CHECK(test::eventually([&] { return client.results.load() == 20; }));
   server.reset();
   for (int index = 0; index < 20; ++index)
-    loop->call(test::callTo(port, "GET", "/"));
-  CHECK(test::eventually([&] { return results.load() == 40; }));
+    client.loop->call(test::callTo(port, "GET", "/"));
+  CHECK(test::eventually([&] { return client.results.load() == 40; }));
 }
