Let gangs collect room, with backfill beside them

Advice was asked only for workers that had room just then, and asked for again and again. Change: the expected end of each run gives the time from which a gang fits; the workers on which its room comes first are kept for it until then. Other steps may use kept room if they end before that time, fit beside the gang, or belong to a more urgent queue. Workers are asked about before they have room, and tickets renewed shortly before the start.

--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -26,6 +26,13 @@
   RunKey run;
 };
 
+/// Members of a gang that a worker can take from a time on.
+struct Opening {
+  base::TimePoint at;
+  WorkerSession *session = nullptr;
+  std::uint32_t slots = 0;
+};
+
 struct Dispatcher::State {
   State(const Table &jobTable, DispatcherOptions dispatcherOptions, base::RandomSource source,
         base::TimePoint start, std::int64_t wallClock);
@@ -100,9 +107,19 @@
   void assign(const OpenStep &open, std::uint32_t index, std::uint32_t run, WorkerSession &session,
               PlaceRuns &command);
   void considerAdvice(const OpenStep &open);
+  void ask(const OpenStep &open, std::vector<std::string> workers);
+
+  // Gangs that collect room (Collecting.cpp).
+  void collect(const OpenStep &open);
+  std::vector<Opening> openingsFor(const OpenStep &open);
+  void adviseGang(const OpenStep &open, const std::vector<Opening> &chosen, base::TimePoint start);
+  void discoverWorkers(const OpenStep &open);
+  base::Resources roomFor(const OpenStep &open, WorkerSession &session);
   bool isEligible(const OpenStep &open, const WorkerSession &session) const;
   std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
   base::Resources freeRoom(WorkerSession &session);
+  base::TimePoint expectedEnd(const WorkerSession &session, const TaskKey &task,
+                              const Job &job) const;
   void dropPending(const TaskKey &task);
   base::Resources proposedOn(const std::string &worker) const;
   std::map<std::string, std::uint32_t> tasksPerWorker(const OpenStep &open) const;
@@ -111,4 +128,7 @@
 /// What a run takes from its worker; fillers take no processors.
 base::Resources demandOf(const Step &step);
 
+/// How many times the demand fits.
+std::uint32_t slotsFor(const base::Resources &room, const base::Resources &demand);
+
 } // namespace banyanrill::jobs
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -22,6 +22,9 @@
 /// A step that could not be asked for is looked at again after this time.
 constexpr base::Duration AdviceLookInterval = std::chrono::milliseconds(25);
 
+/// Gangs that collect room at the same time; each takes time of the processor in every round.
+constexpr std::size_t MaxCollecting = 16;
+
 /// Starts of runs that wait for a free channel, for each worker.
 constexpr std::uint32_t MaxOrdersWaiting = 12;
 
@@ -39,6 +42,8 @@
   return std::find(profile.labels.begin(), profile.labels.end(), label) != profile.labels.end();
 }
 
+} // namespace
+
 std::uint32_t slotsFor(const base::Resources &room, const base::Resources &demand) {
   std::int64_t slots = INT32_MAX;
   if (demand.millicores > 0)
@@ -50,8 +55,6 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(slots, 0));
 }
 
-} // namespace
-
 base::Resources demandOf(const Step &step) {
   base::Resources demand = step.demand;
   if (step.fillsIdle)
@@ -64,6 +67,7 @@
     session.used = {};
     session.fillers = 0;
     session.serving = 0;
+    session.endings.clear();
     for (const auto &[task, placement] : session.worker->placements) {
       const Job *job = this->table.findJob(task.job);
       if (job == nullptr)
@@ -72,12 +76,27 @@
       session.used = session.used + demandOf(step);
       session.fillers += step.fillsIdle ? 1 : 0;
       session.serving += step.responseTargetMs > 0 ? 1 : 0;
+      if (!step.longRunning)
+        session.endings.push_back({this->expectedEnd(session, task, *job), demandOf(step)});
     }
+    std::sort(session.endings.begin(), session.endings.end(),
+              [](const ExpectedEnd &left, const ExpectedEnd &right) { return left.at < right.at; });
     session.roomStale = false;
   }
   return session.worker->profile.capacity - session.used - session.proposed;
 }
 
+base::TimePoint Dispatcher::State::expectedEnd(const WorkerSession &session, const TaskKey &task,
+                                               const Job &job) const {
+  const base::Duration takes = this->speeds.expected(session.life.id, job.queue.name,
+                                                     job.spec.steps[task.step].estimatedMs);
+  const auto view = session.runs.find(task);
+  if (view == session.runs.end() || view->second.inherited)
+    return this->now + takes / 2; // Nothing is known of its beginning.
+  const RunView &run = view->second;
+  return (run.startedAt == base::TimePoint::max() ? run.placedAt : run.startedAt) + takes;
+}
+
 base::Resources Dispatcher::State::proposedOn(const std::string &worker) const {
   base::Resources sum;
   for (const auto &[task, run] : this->pending) {
@@ -133,7 +152,7 @@
   std::vector<WorkerSession *> candidates;
   const base::Resources demand = demandOf(*open.step);
   const auto consider = [&](WorkerSession &session) {
-    if (this->isEligible(open, session) && demand.fitsIn(this->freeRoom(session)))
+    if (this->isEligible(open, session) && demand.fitsIn(this->roomFor(open, session)))
       candidates.push_back(&session);
   };
   if (!open.job->queue.advice) {
@@ -155,7 +174,7 @@
 std::optional<double> Dispatcher::State::scoreOf(const OpenStep &open, const Task &task,
                                                  WorkerSession &session) {
   const base::Resources demand = demandOf(*open.step);
-  const base::Resources room = this->freeRoom(session);
+  const base::Resources room = this->roomFor(open, session);
   if (!demand.fitsIn(room))
     return std::nullopt;
   const WorkerProfile &profile = session.worker->profile;
@@ -241,7 +260,10 @@
 void Dispatcher::State::placeGang(const OpenStep &open, PlaceRuns &command) {
   const std::vector<std::uint32_t> members = this->waitingTasks(open);
   const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
-  if (members.size() != open.progress->tasks.size() || candidates.empty())
+  std::size_t slots = 0;
+  for (WorkerSession *session : candidates)
+    slots += this->slotsIn(open, *session);
+  if (members.size() != open.progress->tasks.size() || slots < members.size())
     return;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   std::uint32_t run = 0;
@@ -268,7 +290,7 @@
 }
 
 std::uint32_t Dispatcher::State::slotsIn(const OpenStep &open, WorkerSession &session) {
-  std::uint32_t slots = slotsFor(this->freeRoom(session), demandOf(*open.step));
+  std::uint32_t slots = slotsFor(this->roomFor(open, session), demandOf(*open.step));
   if (open.step->maxPerWorker > 0)
     slots = std::min(slots, open.step->maxPerWorker);
   return slots;
@@ -289,17 +311,15 @@
     std::uint64_t order; ///< Random, so that steps asked for at the same time hope for other room.
   };
   std::vector<Candidate> candidates;
-  std::uint32_t total = 0;
   const base::Resources demand = demandOf(*open.step);
   for (auto &[id, session] : this->sessions) {
-    if (!demand.fitsIn(this->freeRoom(session)) || !this->isEligible(open, session) ||
+    if (!demand.fitsIn(this->roomFor(open, session)) || !this->isEligible(open, session) ||
         advice.bad.count(id) != 0)
       continue;
     const std::uint32_t slots = std::min(needed, this->slotsIn(open, session));
     candidates.push_back({&id, slots, advice.good.count(id) != 0, this->random.next()});
-    total += slots;
   }
-  if (candidates.empty() || (open.step->gang && total < needed))
+  if (candidates.empty())
     return;
   const std::size_t kept = std::min(candidates.size(), MaxAdvised);
   std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept),
@@ -320,6 +340,10 @@
     named += candidate.slots;
     surely += candidate.known ? candidate.slots : 0;
   }
+  this->ask(open, std::move(workers));
+}
+
+void Dispatcher::State::ask(const OpenStep &open, std::vector<std::string> workers) {
   ++this->figures.adviceCalls;
   this->actions.emplace_back(
       this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
@@ -328,13 +352,21 @@
 void Dispatcher::State::plan() {
   PlaceRuns command;
   command.term = this->options.term;
+  for (auto &[id, session] : this->sessions)
+    session.kept.reset();
+  std::size_t collecting = 0;
   for (const OpenStep *open : this->queue.ordered(this->now)) {
-    if (open->step->gang)
-      this->placeGang(*open, command);
-    else
+    if (!open->step->gang) {
       this->place(*open, command);
-    if (open->job->queue.advice && this->desk.hasFreeAdviser())
-      this->considerAdvice(*open);
+      if (open->job->queue.advice && this->desk.hasFreeAdviser())
+        this->considerAdvice(*open);
+      continue;
+    }
+    this->placeGang(*open, command);
+    if (collecting < MaxCollecting && this->waitingTasks(*open).size() == open->step->count) {
+      ++collecting;
+      this->collect(*open);
+    }
   }
   if (!command.runs.empty())
     this->actions.emplace_back(Command(std::move(command)));
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -9,6 +9,13 @@
 /// A job that ends later than this many times its aim is worth nothing any more.
 constexpr std::int64_t WorthlessFactor = 3;
 
+/// A gang needs this time to collect room and tickets for all its members.
+constexpr base::Duration GangLead = std::chrono::milliseconds(2500);
+
+base::TimePoint turnOf(const OpenStep &open) {
+  return open.step->gang ? open.latestStart - GangLead : open.latestStart;
+}
+
 base::Duration milliseconds(std::int64_t count) { return std::chrono::milliseconds(count); }
 
 std::int64_t aimOf(const Job &job) {
@@ -107,8 +114,9 @@
     const std::uint32_t rightTier = right->tierAt(now);
     if (leftTier != rightTier)
       return leftTier < rightTier;
-    return left->latestStart != right->latestStart ? left->latestStart < right->latestStart
-                                                   : left->key < right->key;
+    const base::TimePoint leftTurn = turnOf(*left);
+    const base::TimePoint rightTurn = turnOf(*right);
+    return leftTurn != rightTurn ? leftTurn < rightTurn : left->key < right->key;
   });
   return result;
 }
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -47,6 +47,19 @@
   base::TimePoint avoidUntil = base::TimePoint::min();
 };
 
+/// What a run gives back when it ends.
+struct ExpectedEnd {
+  base::TimePoint at;
+  base::Resources demand;
+};
+
+/// Room that a gang collects on one worker until all its members fit at the same time.
+struct KeptRoom {
+  base::Resources amount;
+  base::TimePoint from;       ///< When the gang should start.
+  std::uint32_t priority = 0; ///< Of its queue.
+};
+
 struct WorkerSession {
   WorkerLife life;
   const Worker *worker = nullptr; ///< In the table, as long as the session lives.
@@ -70,6 +83,8 @@
   base::Resources proposed;  ///< Of runs that are not in the table yet.
   std::uint32_t fillers = 0; ///< Runs that use what others leave.
   std::uint32_t serving = 0; ///< Runs with a response target.
+  std::vector<ExpectedEnd> endings; ///< The soonest first; runs that last have none.
+  std::optional<KeptRoom> kept;     ///< Found anew in each round of placement.
 
   /// Lower bound of the worker's clock now; empty until it has told its clock.
   std::optional<std::int64_t> clockAt(base::TimePoint now) const;
--- /dev/null
+++ b/packages/jobs/tests/CollectingTest.cpp
@@ -0,0 +1,96 @@
+// Guards against gangs that never start on a busy cell: small tasks filled each gap, so that all
+// members of a wide gang never had room at the same moment.
+#include "FakeCell.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanrill::jobs;
+using namespace banyanrill::jobs::test;
+
+namespace {
+
+constexpr std::size_t Workers = 6;
+constexpr std::uint32_t GangPriority = 1;
+constexpr std::uint32_t FillerPriority = 2;
+
+JobSpec wideGang() {
+  JobSpec spec = makeJob("gang", 2 * Workers, 3500, 2000);
+  spec.steps[0].gang = true;
+  return spec;
+}
+
+/// Keeps more short tasks waiting than the cell has room for.
+void runUnderLoad(FakeCell &cell, int rounds, int &number) {
+  for (int round = 0; round < rounds; ++round) {
+    for (int job = 0; job < 8; ++job)
+      cell.submit(makeJob("small" + std::to_string(number++), 3, 1500, 900), FillerPriority);
+    cell.run(300);
+  }
+}
+
+void checkGangEnds(bool advice) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CellOptions options;
+    options.seed = seed;
+    options.advice = advice;
+    options.workers = Workers;
+    FakeCell cell(options);
+    cell.run(2500);
+    int number = 0;
+    runUnderLoad(cell, 10, number);
+    JobSpec gang = wideGang();
+    // One worker is refused by the advisory service, so fewer members fit.
+    gang.steps[0].count = advice ? 2 * (Workers - 1) : 2 * Workers;
+    cell.submit(gang, GangPriority);
+    // Its aim is three times its work and a second; then it has started in time.
+    runUnderLoad(cell, 23, number);
+    CHECK(cell.phaseOf("gang") == JobPhase::Succeeded);
+    for (const std::string &violation : cell.findViolations())
+      FAIL(violation.c_str());
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Collecting){};
+
+TEST(Collecting, WideGangStartsInTimeBesideSmallTasks) { checkGangEnds(false); }
+
+TEST(Collecting, WideGangStartsInTimeWithTickets) { checkGangEnds(true); }
+
+/// Room that a gang waits for stays usable for more urgent work.
+TEST(Collecting, UrgentTaskTakesKeptRoom) {
+  CellOptions options;
+  options.workers = 2;
+  FakeCell cell(options);
+  cell.run(2500);
+  cell.submit(makeJob("long", 1, 6000, 6000), FillerPriority);
+  cell.run(100);
+  JobSpec gang = makeJob("gang", 2, 8000, 1000);
+  gang.steps[0].gang = true;
+  cell.submit(gang, GangPriority);
+  cell.run(100);
+  cell.submit(makeJob("urgent", 1, 8000, 1000), 0);
+  cell.run(2000);
+  CHECK(cell.phaseOf("urgent") == JobPhase::Succeeded);
+  CHECK(cell.phaseOf("gang") == JobPhase::Active);
+  cell.run(15000);
+  CHECK(cell.phaseOf("gang") == JobPhase::Succeeded);
+}
+
+/// A task that ends before the gang can start delays it no longer than an idle worker would.
+TEST(Collecting, ShortTaskRunsBesideACollectingGang) {
+  CellOptions options;
+  options.workers = 2;
+  FakeCell cell(options);
+  cell.run(2500);
+  cell.submit(makeJob("long", 1, 6000, 6000), FillerPriority);
+  cell.run(100);
+  JobSpec gang = makeJob("gang", 2, 8000, 1000);
+  gang.steps[0].gang = true;
+  cell.submit(gang, GangPriority);
+  cell.run(100);
+  cell.submit(makeJob("short", 1, 8000, 500), FillerPriority);
+  cell.run(1200);
+  CHECK(cell.phaseOf("short") == JobPhase::Succeeded);
+}
