Harm the links between daemons and to workers in the soak

Cause: the soak's proxies stood before callers' doors only, so links between daemons and to workers were never delayed, reset, cut one way or silenced. Change: a proxy before each daemon's peer listener and before each worker. A disk whose link is harmed counts as lost for the choice of the other faults.

--- a/packages/daemon/src/Main.cpp
+++ b/packages/daemon/src/Main.cpp
@@ -44,6 +44,10 @@
   CLI::Option *platform = app.add_flag(
       "--platform", onPlatform, "Run on the users' platform, with the settings file that it names");
   platform->excludes(file);
+  std::string advertised;
+  app.add_option("--advertise", advertised,
+                 "host:port at which other daemons reach this one, if not where it listens")
+      ->needs(platform);
   app.add_flag("--check", checkOnly, "Check the settings file and exit");
   app.add_flag("--initialize", initialize, "Create the data folder of a new replica and exit");
   app.set_version_flag("--version", BANYANRILL_VERSION);
@@ -51,7 +55,7 @@
 
   if (onPlatform) {
     std::signal(SIGPIPE, SIG_IGN);
-    return reportStatus(banyanrill::platform::run());
+    return reportStatus(banyanrill::platform::run(advertised));
   }
   if (settingsFile.empty()) {
     std::fprintf(stderr, "banyanrilld: a settings file or --platform is required\n");
--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/Collecting.cpp
@@ -35,8 +35,8 @@
 }
 
 base::Duration callTime(const AdvicePolicy &policy, std::size_t names) {
-  return std::chrono::milliseconds(static_cast<std::int64_t>(
-      policy.baseMs + policy.perWorkerMs * static_cast<double>(names)));
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(policy.baseMs + policy.perWorkerMs * static_cast<double>(names)));
 }
 
 } // namespace
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -88,8 +88,8 @@
 
 base::TimePoint Dispatcher::State::expectedEnd(const WorkerSession &session, const TaskKey &task,
                                                const Job &job) const {
-  const base::Duration takes = this->speeds.expected(session.life.id, job.queue.name,
-                                                     job.spec.steps[task.step].estimatedMs);
+  const base::Duration takes =
+      this->speeds.expected(session.life.id, job.queue.name, job.spec.steps[task.step].estimatedMs);
   const auto view = session.runs.find(task);
   if (view == session.runs.end() || view->second.inherited)
     return this->now + takes / 2; // Nothing is known of its beginning.
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -80,9 +80,9 @@
   // Room, kept current by the planner.
   bool roomStale = true;
   base::Resources used;
-  base::Resources proposed;  ///< Of runs that are not in the table yet.
-  std::uint32_t fillers = 0; ///< Runs that use what others leave.
-  std::uint32_t serving = 0; ///< Runs with a response target.
+  base::Resources proposed;         ///< Of runs that are not in the table yet.
+  std::uint32_t fillers = 0;        ///< Runs that use what others leave.
+  std::uint32_t serving = 0;        ///< Runs with a response target.
   std::vector<ExpectedEnd> endings; ///< The soonest first; runs that last have none.
   std::optional<KeptRoom> kept;     ///< Found anew in each round of placement.
 
--- a/packages/node/include/banyanrill/node/Options.h
+++ b/packages/node/include/banyanrill/node/Options.h
@@ -15,6 +15,7 @@
   std::string dataCentre;
   std::string region;
   http::Listener peer;
+  std::string advertised; ///< host:port at which other nodes reach `peer`; empty: as it listens.
   std::optional<http::Listener> control;
   std::optional<http::Listener> front;
   std::optional<http::Listener> ready;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -79,7 +79,8 @@
     this->group = std::move(opened.value());
     roster.self.id = this->group->self();
   }
-  roster.self.address = textOf(this->options.peer);
+  roster.self.address =
+      this->options.advertised.empty() ? textOf(this->options.peer) : this->options.advertised;
   if (this->options.control)
     roster.self.controlAddress = textOf(*this->options.control);
   roster.self.dataCentre = this->options.dataCentre;
--- a/tests/soak/Machines.h
+++ b/tests/soak/Machines.h
@@ -33,7 +33,10 @@
   void wipeDisk() const;
 
   std::string ip() const;
-  std::string controlAddress() const;
+  /// Where other machines find it: a proxy before its peer listener.
+  std::string peerIp() const;
+  /// As other machines are told it; their adapter takes only the address from it.
+  std::string seedAddress() const;
   /// Whether it has ended without being killed or told to stop.
   bool endedByItself() const { return this->unexpectedEnd; }
 
--- a/tests/soak/Proxy.cpp
+++ b/tests/soak/Proxy.cpp
@@ -86,10 +86,11 @@
 
 } // namespace
 
-Proxy::Proxy(std::string serverAddress, std::uint16_t serverPort)
+Proxy::Proxy(const std::string &listenAddress, std::uint16_t port, std::string serverAddress,
+             std::uint16_t serverPort)
     : address(std::move(serverAddress)), target(serverPort) {
   this->listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in own = addressOf("127.0.0.1", 0);
+  sockaddr_in own = addressOf(listenAddress, port);
   bind(this->listener, reinterpret_cast<sockaddr *>(&own), sizeof own);
   listen(this->listener, SOMAXCONN);
   socklen_t length = sizeof own;
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -17,16 +17,19 @@
   Silent,     ///< Open connections carry nothing any more, for good; new ones work.
 };
 
-/// Forwards one port of 127.0.0.1 to one server. All member functions are thread-safe.
+/// Forwards one port of a loopback address to one server. All member functions are thread-safe.
 class Proxy {
 public:
-  Proxy(std::string serverAddress, std::uint16_t serverPort);
+  /// `port` 0: chosen by the kernel.
+  Proxy(const std::string &listenAddress, std::uint16_t port, std::string serverAddress,
+        std::uint16_t serverPort);
   ~Proxy();
   Proxy(const Proxy &) = delete;
   Proxy &operator=(const Proxy &) = delete;
 
   std::uint16_t port() const { return this->listenPort; }
   void setFault(LinkFault next) { this->fault = next; }
+  bool isHarmed() const { return this->fault.load() != LinkFault::None; }
 
 private:
   void run();
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -62,12 +62,20 @@
       this->machines.push_back(
           std::make_unique<soak::Machine>(program, this->folder / std::to_string(index), index,
                                           index < Disks, ports, this->users.advisoryService()));
+      const soak::Machine &machine = *this->machines.back();
       this->fronts.push_back(
-          std::make_unique<soak::Proxy>(this->machines.back()->ip(), ports.front));
+          std::make_unique<soak::Proxy>("127.0.0.1", 0, machine.ip(), ports.front));
+      this->peers.push_back(
+          std::make_unique<soak::Proxy>(machine.peerIp(), ports.peer, machine.ip(), ports.peer));
+    }
+    for (std::size_t index = 0; index < Workers; ++index) {
+      this->workers.push_back(std::make_unique<soak::Proxy>("127.0.0.1", 0, "127.0.0.1",
+                                                            this->users.workerPort(index)));
+      this->users.setReachedAt(index, "127.0.0.1:" + std::to_string(this->workers.back()->port()));
     }
     this->control = ports.control;
     for (std::size_t index = 0; index < Disks; ++index)
-      this->seeds.push_back(this->machines[index]->controlAddress());
+      this->seeds.push_back(this->machines[index]->seedAddress());
     for (const auto &machine : this->machines)
       machine->start(this->seeds, true);
     this->client = std::move(http::Client::start().value());
@@ -256,10 +264,12 @@
     }
   }
 
-  /// Whether another machine with a disk is lost or still catching up.
+  /// Whether another machine with a disk is lost, cut off or still catching up.
   bool aDiskIsLost(std::size_t except) {
     for (std::size_t index = 0; index < Disks; ++index) {
       soak::Machine &machine = *this->machines[index];
+      if (this->peers[index]->isHarmed())
+        machine.upSince = Clock::now();
       if (index != except && (!machine.isAlive() || machine.isPaused || machine.isTold ||
                               Clock::now() - machine.upSince < CatchUp))
         return true;
@@ -273,9 +283,20 @@
     this->nextFault = Clock::now() + milliseconds(this->random.below(MaxPauseMs));
     ++this->faults;
     const std::size_t index = this->random.below(Machines);
-    if (this->random.below(3) == 0) {
-      this->fronts[index]->setFault(static_cast<soak::LinkFault>(this->random.below(6)));
+    const auto fault = static_cast<soak::LinkFault>(this->random.below(6));
+    switch (this->random.below(8)) {
+    case 0:
+      this->fronts[index]->setFault(fault);
+      return;
+    case 1:
+      this->workers[this->random.below(Workers)]->setFault(fault);
       return;
+    case 2:
+      // A cut loses nothing that is stored, so it may meet any other fault.
+      this->peers[index]->setFault(fault);
+      return;
+    default:
+      break;
     }
     if (this->random.below(25) == 0) {
       // All processes at once; their disks stay.
@@ -313,8 +334,10 @@
   }
 
   void heal() {
-    for (const auto &front : this->fronts)
-      front->setFault(soak::LinkFault::None);
+    for (const auto *links : {&this->fronts, &this->peers, &this->workers}) {
+      for (const auto &link : *links)
+        link->setFault(soak::LinkFault::None);
+    }
     this->resumeAt = {};
     this->watch();
   }
@@ -324,6 +347,8 @@
   platform::test::FakePlatform users{Workers};
   std::vector<std::unique_ptr<soak::Machine>> machines;
   std::vector<std::unique_ptr<soak::Proxy>> fronts;
+  std::vector<std::unique_ptr<soak::Proxy>> peers;
+  std::vector<std::unique_ptr<soak::Proxy>> workers;
   std::vector<std::string> seeds;
   std::uint16_t control = 0;
   std::unique_ptr<http::Client> client;
