--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -10,7 +10,7 @@
 constexpr std::int64_t WorthlessFactor = 3;
 
 /// A gang needs this time to collect room and tickets for all its members.
-constexpr base::Duration GangLead = std::chrono::milliseconds(2500);
+constexpr base::Duration GangLead = std::chrono::milliseconds(6000);
 
 base::TimePoint turnOf(const OpenStep &open) {
   return open.step->gang ? open.latestStart - GangLead : open.latestStart;
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -20,9 +20,12 @@
   base::TimePoint worthlessAfter; ///< After this its end is worth nothing any more.
   std::uint32_t waiting = 0;      ///< Tasks that are not placed.
 
-  /// 0: can still meet its aim; 1: late; 2: worth nothing any more.
+  /// 0: can still meet its aim; 1: late; 2: worth nothing any more. Durations of the most urgent
+  /// queue's short tasks are known too roughly to call one late, and it costs little to start.
   std::uint32_t tierAt(base::TimePoint now) const {
-    return (now > this->latestStart ? 1U : 0U) + (now > this->worthlessAfter ? 1U : 0U);
+    const bool isLate = now > this->latestStart && this->job->queue.priority > 0;
+    const bool isWorthless = now > this->worthlessAfter;
+    return isWorthless ? 2U : isLate ? 1U : 0U;
   }
 };
 
