--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/Collecting.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t MinNamed = 16;
 
 /// Workers asked about for each member of a gang, since many are refused.
-constexpr std::size_t NamesPerMember = 3;
+constexpr std::size_t NamesPerMember = 5;
 
 /// A step that could not be asked for is looked at again after this time.
 constexpr base::Duration LookInterval = std::chrono::milliseconds(25);
@@ -54,7 +54,9 @@
   for (const ExpectedEnd &ending : session.endings) {
     if (ending.at > kept.from)
       break;
-    later = later + ending.demand;
+    // A run that is overdue may go on.
+    if (ending.at > this->now)
+      later = later + ending.demand;
   }
   return smaller(room, later);
 }
@@ -64,9 +66,11 @@
   const base::Resources demand = demandOf(*open.step);
   const std::uint32_t most = open.step->maxPerWorker > 0 ? open.step->maxPerWorker : UINT32_MAX;
   const auto add = [&](WorkerSession &session) {
-    if (session.kept || !this->isEligible(open, session))
+    if (!this->isEligible(open, session))
       return;
     base::Resources room = this->freeRoom(session);
+    if (session.kept)
+      room = room - session.kept->amount;
     std::uint32_t slots = std::min(slotsFor(room, demand), most);
     if (slots > 0)
       openings.push_back({this->now, &session, slots});
@@ -116,6 +120,8 @@
     if (!kept)
       kept = KeptRoom{{}, start, open.job->queue.priority};
     kept->amount = kept->amount + demand * opening.slots;
+    kept->from = std::min(kept->from, start);
+    kept->priority = std::max(kept->priority, open.job->queue.priority);
   }
   if (!open.job->queue.advice)
     return;
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -32,6 +32,9 @@
 constexpr double MuchSlower = 0.4;
 constexpr double MuchSlowerMalus = 2;
 
+/// Urgent work may use room that gangs wait for, but delays them less elsewhere.
+constexpr double KeptMalus = 1.5;
+
 /// A step whose job can wait less than this should be done by a fast worker.
 constexpr base::Duration TightSlack = std::chrono::seconds(2);
 
@@ -184,6 +187,8 @@
       1.0 - left / static_cast<double>(std::max<std::int64_t>(profile.capacity.millicores, 1));
   if (!open.step->dataRack.empty() && profile.rack == open.step->dataRack)
     score += 2;
+  if (session.kept && !demand.fitsIn(room - session.kept->amount))
+    score -= KeptMalus;
   const double slowness = this->speeds.slowness(session.life.id);
   if (slowness > MuchSlower)
     score -= MuchSlowerMalus;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -53,11 +53,11 @@
   base::Resources demand;
 };
 
-/// Room that a gang collects on one worker until all its members fit at the same time.
+/// Room that gangs collect on one worker until all their members fit at the same time.
 struct KeptRoom {
   base::Resources amount;
-  base::TimePoint from;       ///< When the gang should start.
-  std::uint32_t priority = 0; ///< Of its queue.
+  base::TimePoint from;       ///< When the first of them should start.
+  std::uint32_t priority = 0; ///< Of the least urgent of their queues.
 };
 
 struct WorkerSession {
--- a/packages/jobs/tests/CollectingTest.cpp
+++ b/packages/jobs/tests/CollectingTest.cpp
@@ -94,3 +94,21 @@
   cell.run(1200);
   CHECK(cell.phaseOf("short") == JobPhase::Succeeded);
 }
+
+/// Urgent tasks were packed onto the workers that a gang was about to use, and delayed it each time.
+TEST(Collecting, UrgentTaskPrefersRoomThatNoGangWaitsFor) {
+  CellOptions options;
+  options.workers = 3;
+  FakeCell cell(options);
+  cell.run(2500);
+  cell.submit(makeJob("long", 2, 5000, 6000), FillerPriority);
+  cell.run(100);
+  JobSpec gang = makeJob("gang", 3, 7000, 1000);
+  gang.steps[0].gang = true;
+  cell.submit(gang, GangPriority);
+  cell.run(100);
+  // All workers are kept. Where the gang fits beside it, an urgent task delays nothing.
+  cell.submit(makeJob("urgent", 1, 1000, 9000), 0);
+  cell.run(12000);
+  CHECK(cell.phaseOf("gang") == JobPhase::Succeeded);
+}
