Place nothing on a worker that leaves an order unanswered for 150 ms

A worker counted as silent only when a look at it had timed out, up to 1.5 s later. Ruled out: a change of the leader (riga-a-1 led through the whole time), the advisory service (answered within 0.1 s). Change: the time of the first order since the last answer; beyond 150 ms the worker is not eligible until it answers.

--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -121,7 +121,8 @@
   // Work that fills idle processors disturbs tasks with a response target.
   if ((step.fillsIdle && session.serving > 0) || (step.responseTargetMs > 0 && session.fillers > 0))
     return false;
-  return !session.isAvoided(this->now) && session.callsInFlight < MaxOrdersWaiting;
+  return !session.isAvoided(this->now) && !session.isSilent(this->now) &&
+         session.callsInFlight < MaxOrdersWaiting;
 }
 
 std::map<std::string, std::uint32_t> Dispatcher::State::tasksPerWorker(const OpenStep &open) const {
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -126,6 +126,7 @@
                          .checkpoint;
   view.startInFlight = true;
   ++view.startsSent;
+  session.noteCall(this->now);
   ++session.callsInFlight;
   ++this->figures.starts;
   this->orders.emplace(order.id, OrderSubject{session.life, run});
@@ -137,6 +138,7 @@
   order.id = ++this->lastOrder;
   order.target = this->targetOf(worker);
   order.run = run;
+  session.noteCall(this->now);
   ++session.callsInFlight;
   ++this->figures.stops;
   this->orders.emplace(order.id, OrderSubject{session.life, run});
@@ -260,6 +262,8 @@
   const auto found = this->find(subject->worker);
   if (WorkerSession *session = found.second; session != nullptr) {
     --session->callsInFlight;
+    if (answer.outcome != OrderOutcome::NoAnswer && answer.outcome != OrderOutcome::NotSent)
+      session->noteAnswered(this->now);
     session->readClock(answer.clockMs, this->now);
     this->dirtyWorkers.insert(session->life.id);
   }
@@ -422,6 +426,7 @@
   session->nextHold = session->holdLost ? now : now + HoldPause;
   session->holdLost = false;
   session->contacted = true;
+  session->noteAnswered(now);
   session->lastAnswer = now;
   session->readClock(answer.clockMs, now);
   dispatcher.judgeRuns(*worker, *session, answer);
--- a/packages/jobs/src/WorkerSession.cpp
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -12,6 +12,9 @@
 /// Age of a clock reading plus scheduling delays at the worker.
 constexpr base::Duration LeaseMargin = std::chrono::milliseconds(250);
 
+/// An order and its answer take some 60 ms through a relay, with a busy processor at each end.
+constexpr base::Duration SilenceLimit = std::chrono::milliseconds(150);
+
 /// One failing job is the job's fault; failures of this many jobs without a success in between
 /// are the worker's.
 constexpr std::uint32_t SuspectJobs = 2;
@@ -51,6 +54,21 @@
   return *clockNow + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
+void WorkerSession::noteCall(base::TimePoint now) {
+  if (!this->unansweredSince)
+    this->unansweredSince = now;
+}
+
+void WorkerSession::noteAnswered(base::TimePoint now) {
+  this->unansweredSince.reset();
+  if (this->callsInFlight > 0)
+    this->unansweredSince = now;
+}
+
+bool WorkerSession::isSilent(base::TimePoint now) const {
+  return this->unansweredSince && now - *this->unansweredSince > SilenceLimit;
+}
+
 void WorkerSession::noteEnd(const TaskEnd &end, base::TimePoint now) {
   if (end.kind == EndKind::Succeeded) {
     this->health = {};
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -74,6 +74,8 @@
   base::TimePoint leaseEndsBy; ///< From then on nothing runs there, on any clock.
   bool endsProposed = false;
   std::uint32_t callsInFlight = 0;
+  /// The first order to start or stop since the last answer of any kind.
+  std::optional<base::TimePoint> unansweredSince;
   std::map<TaskKey, RunView> runs;
   WorkerHealth health;
 
@@ -98,6 +100,11 @@
   /// Successes clear a suspicion; failures of several jobs in a row raise one.
   void noteEnd(const TaskEnd &end, base::TimePoint now);
 
+  void noteCall(base::TimePoint now);
+  void noteAnswered(base::TimePoint now);
+  /// Whether it leaves orders unanswered, long before their time limit.
+  bool isSilent(base::TimePoint now) const;
+
   bool isAvoided(base::TimePoint now) const { return now < this->health.avoidUntil; }
 };
 
--- a/packages/jobs/tests/DispatcherFaultsTest.cpp
+++ b/packages/jobs/tests/DispatcherFaultsTest.cpp
@@ -165,3 +165,25 @@
   CHECK(cell.phaseOf("job") == JobPhase::Succeeded);
   checkNoViolation(cell);
 }
+
+/// Urgent tasks were placed on a worker that had just been cut off until a look at it timed out, and
+/// waited there for the end of its lease.
+TEST(DispatcherFaults, SilentWorkerGetsNothingNewAfterAMoment) {
+  CellOptions options;
+  options.workers = 2;
+  FakeCell cell(options);
+  cell.run(3000);
+  cell.cut(0, true);
+  cell.submit(makeJob("first", 8, 500, 300));
+  cell.run(250);
+  const std::size_t placedBefore = cell.jobTable().findWorker("w0")->placements.size();
+  for (int round = 0; round < 10; ++round) {
+    cell.submit(makeJob("next" + std::to_string(round), 4, 500, 100));
+    cell.run(20);
+  }
+  CHECK_EQUAL(placedBefore, cell.jobTable().findWorker("w0")->placements.size());
+  cell.cut(0, false);
+  cell.run(20000);
+  CHECK(cell.allEnded());
+  checkNoViolation(cell);
+}
