Weigh a worker's share of failed runs, and keep rare log lines

Cause 1: a worker that fails half of what it starts is cleared by each success, so gangs, which fail with any member, and second attempts went there again. Change: a fading share of failed runs for each worker weighs against it, more for gangs and tasks that failed before; gangs leave workers out that fail more than two in five. Change: lines of runs and of advice are dropped first and leave a reserve; drops are reported once a second.

--- a/packages/base/src/BoundedOutput.cpp
+++ b/packages/base/src/BoundedOutput.cpp
@@ -14,6 +14,12 @@
 /// What may come at once after a quiet time.
 constexpr double BurstBytes = 512.0 * 1024;
 
+/// Frequent lines leave this to rare ones, of the allowance and of the buffer.
+constexpr double ReservedBytes = 64.0 * 1024;
+
+/// Between two lines that say how many were dropped.
+constexpr Duration ReportInterval = std::chrono::seconds(1);
+
 /// Held back for a slow reader at most.
 constexpr std::size_t MaxBuffer = std::size_t(256) * 1024;
 
@@ -32,24 +38,28 @@
   this->refilled = now;
 }
 
-void BoundedOutput::add(std::string_view line) {
+void BoundedOutput::add(std::string_view line, LineKind kind) {
   const std::lock_guard lock(this->mutex);
-  this->refill(steadyNow());
+  const TimePoint now = steadyNow();
+  this->refill(now);
   const auto size = static_cast<double>(line.size());
-  if (this->allowance < size || this->buffer.size() + line.size() > MaxBuffer) {
+  const double reserved = kind == LineKind::Frequent ? ReservedBytes : 0;
+  if (this->allowance < size + reserved ||
+      static_cast<double>(this->buffer.size()) + size + reserved > MaxBuffer) {
     ++this->droppedLines;
     return;
   }
-  this->reportDropped();
+  this->reportDropped(now);
   this->allowance -= size;
   this->buffer.append(line);
   if (this->buffer.size() >= WriteBytes)
     this->flushLocked();
 }
 
-void BoundedOutput::reportDropped() {
-  if (this->droppedLines == this->reportedLines)
+void BoundedOutput::reportDropped(TimePoint now) {
+  if (this->droppedLines == this->reportedLines || now < this->nextReport)
     return;
+  this->nextReport = now + ReportInterval;
   this->buffer += R"({"event":1007,"name":"log_lines_dropped","lines":)" +
                   std::to_string(this->droppedLines - this->reportedLines) + "}\n";
   this->reportedLines = this->droppedLines;
--- a/packages/base/src/BoundedOutput.h
+++ b/packages/base/src/BoundedOutput.h
@@ -11,13 +11,18 @@
 
 namespace banyanrill::base {
 
+enum class LineKind : std::uint8_t {
+  Rare,
+  Frequent, ///< Dropped first: rare lines have a reserve of their own.
+};
+
 /// Thread-safe.
 class BoundedOutput {
 public:
   explicit BoundedOutput(int descriptor) : file(descriptor) {}
 
   /// Adds a line that ends with a line break.
-  void add(std::string_view line);
+  void add(std::string_view line, LineKind kind = LineKind::Rare);
 
   /// Writes what the reader takes now.
   void flush();
@@ -27,7 +32,7 @@
 private:
   void refill(TimePoint now);
   void flushLocked();
-  void reportDropped();
+  void reportDropped(TimePoint now);
 
   const int file;
   mutable std::mutex mutex;
@@ -36,6 +41,7 @@
   TimePoint refilled = TimePoint::min();
   std::uint64_t droppedLines = 0;
   std::uint64_t reportedLines = 0;
+  TimePoint nextReport = TimePoint::min();
 };
 
 } // namespace banyanrill::base
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -61,11 +61,24 @@
     {6002, Severity::Warning, "peer_message_rejected", "A message from a peer was not valid."},
 }};
 
+constexpr const char *RunLoggerName = "banyanrill.runs";
+
 log4cxx::LoggerPtr logger() {
   static const log4cxx::LoggerPtr Instance = log4cxx::Logger::getLogger("banyanrill");
   return Instance;
 }
 
+/// For the events of single runs, which are dropped first when there are too many lines.
+log4cxx::LoggerPtr runLogger() {
+  static const log4cxx::LoggerPtr Instance = log4cxx::Logger::getLogger(RunLoggerName);
+  return Instance;
+}
+
+bool isFrequent(Event event) {
+  return event == Event::RunOrdered || event == Event::RunStopOrdered || event == Event::RunEnded ||
+         event == Event::RunReleased || event == Event::AdviceAnswered;
+}
+
 log4cxx::LevelPtr levelOf(Severity severity) {
   switch (severity) {
   case Severity::Debug:
@@ -118,7 +131,8 @@
     log4cxx::LogString text;
     this->lines->format(text, event, pool);
     LOG4CXX_ENCODE_CHAR(line, text);
-    standardOutput().add(line);
+    standardOutput().add(line, event->getLoggerName() == RunLoggerName ? LineKind::Frequent
+                                                                       : LineKind::Rare);
   }
 
 private:
@@ -174,7 +188,7 @@
     line += ':';
     appendQuoted(line, field.value);
   }
-  logger()->log(level, line);
+  (isFrequent(event) ? runLogger() : logger())->log(level, line);
 }
 
 } // namespace banyanrill::base
--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/Collecting.cpp
@@ -17,6 +17,9 @@
 /// Expected ends are rough, so tickets are renewed this much sooner than needed.
 constexpr base::Duration RenewalLead = std::chrono::milliseconds(300);
 
+/// A gang fails with any of its members, so workers that fail more than this are left out.
+constexpr double MaxFailureShare = 0.4;
+
 /// Workers named in one advisory call at most, as the service limits it.
 constexpr std::size_t MaxNamed = 100;
 
@@ -66,7 +69,7 @@
   const base::Resources demand = demandOf(*open.step);
   const std::uint32_t most = open.step->maxPerWorker > 0 ? open.step->maxPerWorker : UINT32_MAX;
   const auto add = [&](WorkerSession &session) {
-    if (!this->isEligible(open, session))
+    if (!this->isEligible(open, session) || session.failureShare(this->now) > MaxFailureShare)
       return;
     base::Resources room = this->freeRoom(session);
     if (session.kept)
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -32,6 +32,10 @@
 constexpr double MuchSlower = 0.4;
 constexpr double MuchSlowerMalus = 2;
 
+/// Weight of a worker's share of failures; gangs fail with any member, and attempts are few.
+constexpr double FailureWeight = 2;
+constexpr double RiskyFailureWeight = 6;
+
 /// Urgent work may use room that gangs wait for, but delays them less elsewhere.
 constexpr double KeptMalus = 1.5;
 
@@ -195,6 +199,8 @@
     score -= MuchSlowerMalus;
   if (open.latestStart - open.due < TightSlack)
     score -= SpeedWeight * slowness;
+  const bool isRisky = open.step->gang || task.failures > 0;
+  score -= (isRisky ? RiskyFailureWeight : FailureWeight) * session.failureShare(this->now);
   // A task that failed there may have failed because of the worker.
   if (task.failures > 0 && task.worker == session.life.id)
     score -= 4;
--- a/packages/jobs/src/WorkerSession.cpp
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -1,6 +1,7 @@
 #include "WorkerSession.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanrill::jobs {
 
@@ -19,6 +20,12 @@
 /// are the worker's.
 constexpr std::uint32_t SuspectJobs = 2;
 
+/// Weight of one end in the share of failures.
+constexpr double SampleWeight = 0.3;
+
+/// A worker that fails what it starts gets little to show that it recovered.
+constexpr std::chrono::duration<double> FailureHalfLife(5);
+
 /// A worker that failed several jobs is tried again after this time.
 constexpr base::Duration AvoidTime = std::chrono::seconds(4);
 
@@ -69,13 +76,27 @@
   return this->unansweredSince && now - *this->unansweredSince > SilenceLimit;
 }
 
+double WorkerSession::failureShare(base::TimePoint now) const {
+  if (this->health.failureShare == 0)
+    return 0;
+  const std::chrono::duration<double> age = now - this->health.changedAt;
+  return this->health.failureShare * std::exp2(-age / FailureHalfLife);
+}
+
 void WorkerSession::noteEnd(const TaskEnd &end, base::TimePoint now) {
-  if (end.kind == EndKind::Succeeded) {
-    this->health = {};
+  if (end.kind != EndKind::Succeeded && end.kind != EndKind::Failed)
     return;
-  }
-  if (end.kind != EndKind::Failed)
+  const bool hasFailed = end.kind == EndKind::Failed;
+  const double share = this->failureShare(now);
+  this->health.failureShare = share + ((hasFailed ? 1 : 0) - share) * SampleWeight;
+  this->health.changedAt = now;
+  if (!hasFailed) {
+    this->health.failuresInRow = 0;
+    this->health.lastFailedJob.clear();
+    this->health.jobsFailedInRow = 0;
+    this->health.avoidUntil = base::TimePoint::min();
     return;
+  }
   ++this->health.failuresInRow;
   if (this->health.lastFailedJob != end.run.task.job) {
     this->health.lastFailedJob = end.run.task.job;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -44,6 +44,8 @@
   std::uint32_t failuresInRow = 0;
   std::string lastFailedJob;
   std::uint32_t jobsFailedInRow = 0;
+  double failureShare = 0; ///< Of recent runs, at `changedAt`; fades.
+  base::TimePoint changedAt = base::TimePoint::min();
   base::TimePoint avoidUntil = base::TimePoint::min();
 };
 
@@ -105,6 +107,9 @@
   /// Whether it leaves orders unanswered, long before their time limit.
   bool isSilent(base::TimePoint now) const;
 
+  /// Share of recent runs that failed; fades while nothing ends there.
+  double failureShare(base::TimePoint now) const;
+
   bool isAvoided(base::TimePoint now) const { return now < this->health.avoidUntil; }
 };
 
