Count a job as waiting until a worker has said that a run was there

Ruled out: an old reader (the answers came from the leader, 11 ms after the request). Change: the leader counts a job as waiting until a start was answered, a run was seen at a worker, or an end was recorded. Test JobWaitsUntilAWorkerHasAnsweredItsStart: 0 instead of 1 without the change.

--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -72,7 +72,7 @@
   /// Everything to do now. Call after each group of the functions above, and every 50 ms.
   std::vector<Action> takeActions(base::TimePoint now, std::int64_t wallClockMs);
 
-  /// Jobs that no task has started of, by queue.
+  /// Jobs of a queue of which no worker has said yet that a run was there.
   std::uint64_t waitingIn(const std::string &queue) const;
 
   DispatcherFigures figures() const;
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -21,6 +21,14 @@
 /// Jobs forgotten in one command at most.
 constexpr std::size_t MaxForgotten = 64;
 
+/// Whether a run of the job has certainly been somewhere.
+bool hasEndedTasks(const Job &job) {
+  return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &entry) {
+    return std::any_of(entry.second.steps.begin(), entry.second.steps.end(),
+                       [](const StepProgress &step) { return step.succeeded > 0; });
+  });
+}
+
 } // namespace
 
 Dispatcher::State::State(const Table &jobTable, DispatcherOptions dispatcherOptions,
@@ -38,7 +46,9 @@
   this->planWanted = true;
   const Job *job = this->table.findJob(id);
   const bool active = job != nullptr && job->phase == JobPhase::Active;
-  const bool isWaiting = active && !job->started && job->spec.repeatCount == 0;
+  if (active && job->started && hasEndedTasks(*job))
+    this->begun.insert(id);
+  const bool isWaiting = active && job->spec.repeatCount == 0 && this->begun.count(id) == 0;
   const auto known = this->waitingJobs.find(id);
   if (isWaiting && known == this->waitingJobs.end()) {
     this->waitingJobs.emplace(id, job->queue.name);
@@ -53,6 +63,7 @@
     return;
   }
   this->timedJobs.erase(id);
+  this->begun.erase(id);
   this->desk.forgetJob(id);
   this->abandonedGangs.erase(this->abandonedGangs.lower_bound({id, 0, 0}),
                              this->abandonedGangs.upper_bound({id, UINT32_MAX, UINT32_MAX}));
@@ -62,6 +73,11 @@
     this->ended.emplace(id, job->endedMs);
 }
 
+void Dispatcher::State::noteBegun(const std::string &job) {
+  if (this->waitingJobs.count(job) != 0 && this->begun.insert(job).second)
+    this->refreshJob(job);
+}
+
 void Dispatcher::State::noteDuration(const WorkerSession &session, const TaskEnd &end) {
   const auto view = session.runs.find(end.run.task);
   const Job *job = this->table.findJob(end.run.task.job);
@@ -163,6 +179,7 @@
       for (const TaskEnd &end : ends->ends) {
         session->second.noteEnd(end, now);
         dispatcher.noteDuration(session->second, end);
+        dispatcher.noteBegun(end.run.task.job);
         session->second.runs.erase(end.run.task);
       }
     }
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -56,7 +56,8 @@
   OrderId lastOrder = 0;
   bool planWanted = true;
   base::TimePoint nextPlan = base::TimePoint::min();
-  std::map<std::string, std::uint64_t> waiting;   ///< Jobs not started, by queue.
+  std::set<std::string> begun; ///< Active jobs of which a worker said that a run was there.
+  std::map<std::string, std::uint64_t> waiting;   ///< Jobs not begun, by queue.
   std::map<std::string, std::string> waitingJobs; ///< Job to its queue.
   std::map<std::string, std::int64_t> ended;      ///< Jobs to forget, with the time of their end.
   std::set<std::string> timedJobs;                ///< Jobs with occurrences still to come.
@@ -66,6 +67,7 @@
 
   // Jobs.
   void refreshJob(const std::string &id);
+  void noteBegun(const std::string &job);
   void noteDuration(const WorkerSession &session, const TaskEnd &end);
   void openDueOccurrences();
   void forgetEndedJobs();
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -290,6 +290,7 @@
   case OrderOutcome::OldRun:
     view.startAnswered = true;
     view.settledAt = now;
+    dispatcher.noteBegun(subject->run.task.job);
     return;
   case OrderOutcome::NotSent:
     --view.startsSent;
@@ -365,6 +366,7 @@
       if (!view.startAnswered) {
         view.startAnswered = true;
         view.settledAt = this->now;
+        this->noteBegun(task.job);
       }
       if (seen.percent != view.percent)
         view.progressAt = this->now;
--- a/packages/jobs/tests/CollectingTest.cpp
+++ b/packages/jobs/tests/CollectingTest.cpp
@@ -95,7 +95,8 @@
   CHECK(cell.phaseOf("short") == JobPhase::Succeeded);
 }
 
-/// Urgent tasks were packed onto the workers that a gang was about to use, and delayed it each time.
+/// Urgent tasks were packed onto the workers that a gang was about to use, and delayed it each
+/// time.
 TEST(Collecting, UrgentTaskPrefersRoomThatNoGangWaitsFor) {
   CellOptions options;
   options.workers = 3;
--- a/packages/jobs/tests/DispatcherFaultsTest.cpp
+++ b/packages/jobs/tests/DispatcherFaultsTest.cpp
@@ -166,8 +166,8 @@
   checkNoViolation(cell);
 }
 
-/// Urgent tasks were placed on a worker that had just been cut off until a look at it timed out, and
-/// waited there for the end of its lease.
+/// Urgent tasks were placed on a worker that had just been cut off until a look at it timed out,
+/// and waited there for the end of its lease.
 TEST(DispatcherFaults, SilentWorkerGetsNothingNewAfterAMoment) {
   CellOptions options;
   options.workers = 2;
@@ -187,3 +187,22 @@
   CHECK(cell.allEnded());
   checkNoViolation(cell);
 }
+
+/// A job counted as started as soon as it was placed, though its worker never had the order.
+TEST(DispatcherFaults, JobWaitsUntilAWorkerHasAnsweredItsStart) {
+  CellOptions options;
+  options.workers = 1;
+  FakeCell cell(options);
+  cell.run(3000);
+  cell.cut(0, true);
+  cell.submit(makeJob("job", 1, 500, 3000));
+  cell.run(400);
+  CHECK_EQUAL(1U, cell.jobTable().findWorker("w0")->placements.size());
+  CHECK_EQUAL(1U, cell.waiting());
+  cell.cut(0, false);
+  cell.run(1500);
+  CHECK_EQUAL(0U, cell.waiting());
+  cell.changeLeader();
+  cell.run(300);
+  CHECK_EQUAL(0U, cell.waiting());
+}
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -45,6 +45,7 @@
   std::int64_t now() const { return this->nowMs; }
   const Table &jobTable() const { return this->table; }
   DispatcherFigures figures() const { return this->dispatcher->figures(); }
+  std::uint64_t waiting() const { return this->dispatcher->waitingIn("queue"); }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
   base::RandomSource &random() { return this->source; }
 
