Send operators to the leader for configurations

In their logs no machine with a 2 Mbit/s link ever answered a read or took a change after the configuration had grown (0 of 53 requests); all 8 at machines with 200 Mbit/s did. The forwarded configuration did not pass the slow link within the 600 ms of a forwarded request, and each attempt began anew. Ruled out: a missing leader (jobs were accepted by forwarding all the while), the group's disks. Change: a node that has heard from the leader within 1.5 s answers 307 with the leader's control address to a read or a change of the configuration; the platform's callers follow. Else it forwards as before. The stand-ins follow redirects.

--- a/packages/jobs/include/banyanrill/jobs/Api.h
+++ b/packages/jobs/include/banyanrill/jobs/Api.h
@@ -72,6 +72,7 @@
   Busy,        ///< Refused because too much is waiting; did not run.
   Unavailable, ///< Did not run: there is no leader, or it has no configuration.
   InDoubt,     ///< May have run: the leader was lost before its answer.
+  AskLeader,   ///< Did not run: `askAt` answers it.
 };
 
 struct Reply {
@@ -82,6 +83,7 @@
   bool started = false;                 ///< StateRequest for a job.
   std::optional<std::uint64_t> waiting; ///< StateRequest for a queue.
   std::string document;                 ///< ReadConfigurationRequest.
+  std::string askAt;                    ///< AskLeader: host:port of the leader's control listener.
   std::string reportTo;                 ///< WorkerReport: host:port for later reports.
   bool waveDone = false;                ///< WaveStateRequest.
   bool operator==(const Reply &) const = default;
--- a/packages/jobs/src/Api.cpp
+++ b/packages/jobs/src/Api.cpp
@@ -42,8 +42,9 @@
 }
 
 std::string_view nameOf(ReplyCode code) {
-  static constexpr std::array<std::string_view, 7> Names = {
-      "done", "invalid", "no_such_queue", "no_such_job", "busy", "unavailable", "in_doubt"};
+  static constexpr std::array<std::string_view, 8> Names = {
+      "done", "invalid",     "no_such_queue", "no_such_job",
+      "busy", "unavailable", "in_doubt",      "ask_leader"};
   return nameIn(Names, code);
 }
 
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -29,6 +29,9 @@
 /// Without a leader's answer for this long, new callers are better served elsewhere.
 constexpr base::Duration ContactLife = std::chrono::milliseconds(2500);
 
+/// Operators are sent to a leader that was heard from within this time: about three greetings.
+constexpr base::Duration RedirectLife = std::chrono::milliseconds(1500);
+
 /// An unchanged report is forwarded again after this time, in case the leader has removed the
 /// worker.
 constexpr base::Duration ReportLife = std::chrono::milliseconds(4000);
@@ -42,6 +45,13 @@
          std::holds_alternative<jobs::WaveStateRequest>(request);
 }
 
+/// A configuration can be so large that a node with a slow link cannot pass it on within the time
+/// that its operator waits.
+bool carriesConfiguration(const jobs::Request &request) {
+  return std::holds_alternative<jobs::ConfigureRequest>(request) ||
+         std::holds_alternative<jobs::ReadConfigurationRequest>(request);
+}
+
 } // namespace
 
 void Node::State::serve(http::ExchangeId exchange, Door door, const http::Request &request) {
@@ -121,8 +131,20 @@
     return;
   }
   const std::optional<membership::KnownLeader> leader = this->roster->leader();
-  if (leader && leader->id != this->roster->self().id)
-    this->forward(request, *leader);
+  if (!leader || leader->id == this->roster->self().id)
+    return;
+  if (carriesConfiguration(request.request) && request.attempts == 0 &&
+      this->now - this->lastContact < RedirectLife) {
+    const membership::PeerRecord *record = this->roster->find(leader->id);
+    if (record != nullptr && !record->controlAddress.empty()) {
+      jobs::Reply elsewhere;
+      elsewhere.code = jobs::ReplyCode::AskLeader;
+      elsewhere.askAt = record->controlAddress;
+      this->finish(id, std::move(elsewhere));
+      return;
+    }
+  }
+  this->forward(request, *leader);
 }
 
 void Node::State::forward(OpenRequest &request, const membership::KnownLeader &leader) {
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -142,8 +142,13 @@
 
   http::CallResult callControl(const std::string &method, const std::string &path,
                                const std::string &body = {}) {
-    return this->call(this->machines[this->random.below(Machines)]->ip(), this->control, method,
-                      path, body);
+    http::CallResult result = this->call(this->machines[this->random.below(Machines)]->ip(),
+                                         this->control, method, path, body);
+    for (int hop = 0; hop < 2 && result.response.status == 307; ++hop) {
+      const auto [host, port] = platform::test::redirectTarget(result.response);
+      result = this->call(host, port, method, path, body);
+    }
+    return result;
   }
 
   void step() {
