Say "not ready" before the first contact with a leader, and find crashes in the soak

Change: the last contact is optional. The soak also notices processes that crashed just before it killed them, and kills them one after the other at the end. A field of the workers' health that nothing read is removed; constants of advice are shared.

--- a/packages/jobs/src/AdviceDesk.h
+++ b/packages/jobs/src/AdviceDesk.h
@@ -10,6 +10,12 @@
 
 namespace banyanrill::jobs {
 
+/// Fewer names save little: most of a call's time does not depend on them.
+constexpr std::size_t MinAdvised = 16;
+
+/// A step that could not be asked for is looked at again after this time.
+constexpr base::Duration AdviceLookInterval = std::chrono::milliseconds(25);
+
 struct Ticket {
   std::string value;
   base::TimePoint until; ///< Last time at which a start with it should leave.
--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/Collecting.cpp
@@ -23,15 +23,9 @@
 /// Workers named in one advisory call at most, as the service limits it.
 constexpr std::size_t MaxNamed = 100;
 
-/// Fewer names save little: most of a call's time does not depend on them.
-constexpr std::size_t MinNamed = 16;
-
 /// Workers asked about for each member of a gang, since many are refused.
 constexpr std::size_t NamesPerMember = 5;
 
-/// A step that could not be asked for is looked at again after this time.
-constexpr base::Duration LookInterval = std::chrono::milliseconds(25);
-
 base::Resources smaller(const base::Resources &left, const base::Resources &right) {
   return {std::min(left.millicores, right.millicores), std::min(left.memoryMib, right.memoryMib),
           std::min(left.accelerators, right.accelerators)};
@@ -167,7 +161,7 @@
   StepAdvice &advice = this->desk.of(open.key);
   if (advice.asking || this->now < advice.askAgain || !this->desk.hasFreeAdviser())
     return;
-  advice.askAgain = this->now + LookInterval;
+  advice.askAgain = this->now + AdviceLookInterval;
   struct Unknown {
     const std::string *worker;
     std::uint32_t slots;
@@ -185,7 +179,7 @@
     return;
   const std::size_t most =
       std::min({unknown.size(), MaxNamed,
-                std::max(MinNamed, NamesPerMember * static_cast<std::size_t>(open.step->count))});
+                std::max(MinAdvised, NamesPerMember * static_cast<std::size_t>(open.step->count))});
   std::partial_sort(unknown.begin(), unknown.begin() + static_cast<std::ptrdiff_t>(most),
                     unknown.end(), [](const Unknown &left, const Unknown &right) {
                       return left.slots != right.slots ? left.slots > right.slots
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -16,12 +16,6 @@
 /// A call names this many times the workers that the step needs, since many are refused.
 constexpr std::size_t AdviceSurplus = 4;
 
-/// Fewer names save little: most of a call's time does not depend on them.
-constexpr std::size_t MinAdvised = 16;
-
-/// A step that could not be asked for is looked at again after this time.
-constexpr base::Duration AdviceLookInterval = std::chrono::milliseconds(25);
-
 /// Gangs that collect room at the same time; each takes time of the processor in every round.
 constexpr std::size_t MaxCollecting = 16;
 
--- a/packages/jobs/src/WorkerSession.cpp
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -91,13 +91,11 @@
   this->health.failureShare = share + ((hasFailed ? 1 : 0) - share) * SampleWeight;
   this->health.changedAt = now;
   if (!hasFailed) {
-    this->health.failuresInRow = 0;
     this->health.lastFailedJob.clear();
     this->health.jobsFailedInRow = 0;
     this->health.avoidUntil = base::TimePoint::min();
     return;
   }
-  ++this->health.failuresInRow;
   if (this->health.lastFailedJob != end.run.task.job) {
     this->health.lastFailedJob = end.run.task.job;
     ++this->health.jobsFailedInRow;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -41,7 +41,6 @@
 
 /// Successes and failures of a worker, to find one that fails what it starts.
 struct WorkerHealth {
-  std::uint32_t failuresInRow = 0;
   std::string lastFailedJob;
   std::uint32_t jobsFailedInRow = 0;
   double failureShare = 0; ///< Of recent runs, at `changedAt`; fades.
--- a/packages/jobs/tests/CollectingTest.cpp
+++ b/packages/jobs/tests/CollectingTest.cpp
@@ -50,6 +50,17 @@
   }
 }
 
+/// On two workers: one is busy for some seconds, and a gang needs both of them.
+void beginCollecting(FakeCell &cell) {
+  cell.run(2500);
+  cell.submit(makeJob("long", 1, 6000, 6000), FillerPriority);
+  cell.run(100);
+  JobSpec gang = makeJob("gang", 2, 8000, 1000);
+  gang.steps[0].gang = true;
+  cell.submit(gang, GangPriority);
+  cell.run(100);
+}
+
 } // namespace
 
 TEST_GROUP(Collecting){};
@@ -63,13 +74,7 @@
   CellOptions options;
   options.workers = 2;
   FakeCell cell(options);
-  cell.run(2500);
-  cell.submit(makeJob("long", 1, 6000, 6000), FillerPriority);
-  cell.run(100);
-  JobSpec gang = makeJob("gang", 2, 8000, 1000);
-  gang.steps[0].gang = true;
-  cell.submit(gang, GangPriority);
-  cell.run(100);
+  beginCollecting(cell);
   cell.submit(makeJob("urgent", 1, 8000, 1000), 0);
   cell.run(2000);
   CHECK(cell.phaseOf("urgent") == JobPhase::Succeeded);
@@ -83,13 +88,7 @@
   CellOptions options;
   options.workers = 2;
   FakeCell cell(options);
-  cell.run(2500);
-  cell.submit(makeJob("long", 1, 6000, 6000), FillerPriority);
-  cell.run(100);
-  JobSpec gang = makeJob("gang", 2, 8000, 1000);
-  gang.steps[0].gang = true;
-  cell.submit(gang, GangPriority);
-  cell.run(100);
+  beginCollecting(cell);
   cell.submit(makeJob("short", 1, 8000, 500), FillerPriority);
   cell.run(1200);
   CHECK(cell.phaseOf("short") == JobPhase::Succeeded);
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -210,7 +210,7 @@
   if (slept - this->sleptMs >= SuspensionMs) {
     base::logEvent(base::Event::MachineWasSuspended,
                    {{"ms", std::to_string(slept - this->sleptMs)}});
-    this->lastContact = base::TimePoint::min();
+    this->lastContact.reset();
     if (const auto leader = this->roster->leader(); leader && leader->id != this->roster->self().id)
       this->roster->doubtLeader(leader->id);
   }
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -99,7 +99,8 @@
   bool workScheduled = false;
   bool draining = false;
   std::atomic<bool> drained = false;
-  base::TimePoint lastContact = base::TimePoint::min(); ///< With a leader.
+  std::optional<base::TimePoint> lastContact; ///< With a leader; empty: none since the start or a
+                                              ///< suspension.
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextSteward = base::TimePoint::min();
   std::optional<membership::KnownLeader> loggedLeader; ///< As the last line in the log says.
@@ -127,6 +128,7 @@
   bool isKnownReport(const jobs::Request &request) const;
   void noteReport(const jobs::Request &request, const jobs::Reply &reply);
   bool isReady() const;
+  bool heardLeaderWithin(base::Duration duration) const;
   std::string metricsText() const;
 
   // The leader's answers.
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -134,7 +134,7 @@
   if (!leader || leader->id == this->roster->self().id)
     return;
   if (carriesConfiguration(request.request) && request.attempts == 0 &&
-      this->now - this->lastContact < RedirectLife) {
+      this->heardLeaderWithin(RedirectLife)) {
     const membership::PeerRecord *record = this->roster->find(leader->id);
     if (record != nullptr && !record->controlAddress.empty()) {
       jobs::Reply elsewhere;
@@ -239,7 +239,11 @@
 bool Node::State::isReady() const {
   if (this->draining)
     return false;
-  return (this->group && this->group->leads()) || this->now - this->lastContact < ContactLife;
+  return (this->group && this->group->leads()) || this->heardLeaderWithin(ContactLife);
+}
+
+bool Node::State::heardLeaderWithin(base::Duration duration) const {
+  return this->lastContact && this->now - *this->lastContact < duration;
 }
 
 std::string Node::State::metricsText() const {
--- a/tests/soak/Machines.cpp
+++ b/tests/soak/Machines.cpp
@@ -95,8 +95,12 @@
   if (this->pid <= 0)
     return;
   ::kill(this->pid, SIGKILL);
-  waitpid(this->pid, nullptr, 0);
+  int status = 0;
+  waitpid(this->pid, &status, 0);
   this->pid = 0;
+  const bool isKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+  const bool isClean = this->isTold && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  this->unexpectedEnd = this->unexpectedEnd || !(isKilled || isClean);
 }
 
 void Machine::wipeDisk() const {
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -96,6 +96,11 @@
       this->fail("an accepted job did not end: " + this->firstOpenJob());
     for (const std::string &violation : this->users.violations())
       this->fail(violation);
+    // Killed one after the other, so that the others see their connections break.
+    for (const auto &machine : this->machines)
+      machine->kill();
+    for (std::size_t index = 0; index < Machines; ++index)
+      this->noteOwnEnd(index);
     std::printf("%zu jobs accepted, %zu faults, configuration %d, %zu starts\n", this->jobs.size(),
                 this->faults, this->acknowledged, this->users.starts());
     for (const std::string &fault : this->broken)
@@ -264,11 +269,15 @@
       }
       if (!machine.isAlive() && now >= this->resumeAt[index])
         machine.start(this->seeds, false);
-      if (machine.endedByItself() && this->reported.insert(index).second)
-        this->fail("process " + std::to_string(index) + " ended by itself");
+      this->noteOwnEnd(index);
     }
   }
 
+  void noteOwnEnd(std::size_t index) {
+    if (this->machines[index]->endedByItself() && this->reported.insert(index).second)
+      this->fail("process " + std::to_string(index) + " ended by itself");
+  }
+
   /// Whether another machine with a disk is lost, cut off or still catching up.
   bool aDiskIsLost(std::size_t except) {
     for (std::size_t index = 0; index < Disks; ++index) {
