Make the test of urgent tasks beside a collecting gang decide

Cause: UrgentTaskPrefersRoomThatNoGangWaitsFor left room beside the gang on each worker, so it passed whatever the choice. Change: the gang waits for an idle worker and one that is busy for 4 s; the urgent task must go to the third worker. It checks the placement itself and replaces the former check, which was weaker.

--- a/packages/jobs/tests/CollectingTest.cpp
+++ b/packages/jobs/tests/CollectingTest.cpp
@@ -61,6 +61,12 @@
   cell.run(100);
 }
 
+/// Where the first task of the job was placed; empty: nowhere yet.
+std::string workerOf(const FakeCell &cell, const std::string &job) {
+  const Job *found = cell.jobTable().findJob(job);
+  return found == nullptr ? std::string() : found->occurrences.at(0).steps[0].tasks[0].worker;
+}
+
 } // namespace
 
 TEST_GROUP(Collecting){};
@@ -101,14 +107,17 @@
   options.workers = 3;
   FakeCell cell(options);
   cell.run(2500);
-  cell.submit(makeJob("long", 2, 5000, 6000), FillerPriority);
+  cell.submit(makeJob("beside", 1, 3000, 9000), FillerPriority);
+  cell.run(100);
+  cell.submit(makeJob("before", 1, 6000, 4000), FillerPriority);
   cell.run(100);
-  JobSpec gang = makeJob("gang", 3, 7000, 1000);
+  // It waits for the idle worker and the one with the task that ends sooner.
+  JobSpec gang = makeJob("gang", 2, 8000, 1000);
   gang.steps[0].gang = true;
   cell.submit(gang, GangPriority);
   cell.run(100);
-  // All workers are kept. Where the gang fits beside it, an urgent task delays nothing.
   cell.submit(makeJob("urgent", 1, 1000, 9000), 0);
-  cell.run(12000);
-  CHECK(cell.phaseOf("gang") == JobPhase::Succeeded);
+  cell.run(100);
+  CHECK(!workerOf(cell, "urgent").empty());
+  CHECK_EQUAL(workerOf(cell, "beside"), workerOf(cell, "urgent"));
 }
