--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -28,6 +28,14 @@
   return queue;
 }
 
+/// FNV-1a, so that all builds permit the same workers.
+std::uint64_t hashOf(const std::string &text) {
+  std::uint64_t hash = 14695981039346656037U;
+  for (const char character : text)
+    hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211U;
+  return hash;
+}
+
 } // namespace
 
 JobSpec makeJob(const std::string &id, std::uint32_t tasks, std::int64_t millicores,
@@ -68,8 +76,9 @@
     profile.incarnation = {"w" + std::to_string(index), 1};
     profile.service = "service";
     profile.address = "10.0.0." + std::to_string(index + 1) + ":80";
-    profile.capacity = {8000, 8000, 0};
+    profile.capacity = this->options.capacity;
     profile.labels = {"a", "r" + std::to_string(index / 2)};
+    this->byAddress.emplace(profile.address, index);
     const double rate = 0.98 + 0.02 * this->source.unit();
     this->workers.push_back(std::make_unique<FakeWorker>(profile, rate, observer));
   }
@@ -102,12 +111,19 @@
   this->dispatcher = std::make_unique<Dispatcher>(this->table, dispatcherOptions,
                                                   base::RandomSource(this->source.next()),
                                                   this->clock(), this->nowMs + EpochMs);
-  this->dispatcher->setAdvisoryDaemons({1, 2, 3});
+  std::vector<base::DaemonId> advisers;
+  for (std::size_t number = 1; number <= this->options.advisers; ++number)
+    advisers.push_back(static_cast<base::DaemonId>(number));
+  this->dispatcher->setAdvisoryDaemons(advisers);
 }
 
 void FakeCell::submit(JobSpec spec, std::uint32_t priority) {
   Queue queue = testQueue(this->options.advice);
   queue.priority = priority;
+  this->submit(std::move(spec), std::move(queue));
+}
+
+void FakeCell::submit(JobSpec spec, Queue queue) {
   this->log.emplace_back(this->nowMs + CommitMs, AcceptJob{std::move(spec), std::move(queue)});
 }
 
@@ -138,6 +154,17 @@
   }
 }
 
+template <typename Function> auto FakeCell::timed(Function function) {
+  struct Stopwatch {
+    explicit Stopwatch(std::chrono::nanoseconds &total) : sum(total) {}
+    ~Stopwatch() { this->sum += std::chrono::steady_clock::now() - this->start; }
+    std::chrono::nanoseconds &sum;
+    std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+  };
+  const Stopwatch stopwatch(this->spent);
+  return function();
+}
+
 void FakeCell::report(std::size_t worker) {
   FakeWorker &target = *this->workers.at(worker);
   if (!target.alive || this->links[worker].cut)
@@ -147,7 +174,7 @@
   if (known == nullptr || known->profile != target.profile)
     this->log.emplace_back(this->nowMs + CommitMs, RegisterWorker{target.profile});
   else
-    this->dispatcher->onWorkerReport(report, this->clock());
+    this->timed([&] { this->dispatcher->onWorkerReport(report, this->clock()); });
 }
 
 void FakeCell::commitDueCommands() {
@@ -162,7 +189,7 @@
     this->trackRecordedFailures(command);
   const Effect effect = this->table.apply(batch);
   this->trackSuccesses(effect);
-  this->dispatcher->onApplied(batch, effect, this->clock());
+  this->timed([&] { this->dispatcher->onApplied(batch, effect, this->clock()); });
 }
 
 void FakeCell::trackSuccesses(const Effect &effect) {
@@ -186,19 +213,27 @@
 
 void FakeCell::processActions() {
   this->commitDueCommands();
-  std::vector<Action> actions = this->dispatcher->takeActions(this->clock(), this->nowMs + EpochMs);
+  std::vector<Action> actions = this->timed(
+      [this] { return this->dispatcher->takeActions(this->clock(), this->nowMs + EpochMs); });
   for (Action &action : actions)
     this->execute(action);
 }
 
 FakeWorker *FakeCell::find(const OrderTarget &target, Link *&link) {
-  for (std::size_t index = 0; index < this->workers.size(); ++index) {
-    if (this->workers[index]->profile.address != target.address)
-      continue;
-    link = &this->links[index];
-    return this->workers[index].get();
-  }
-  return nullptr;
+  const auto found = this->byAddress.find(target.address);
+  if (found == this->byAddress.end())
+    return nullptr;
+  link = &this->links[found->second];
+  return this->workers[found->second].get();
+}
+
+bool FakeCell::isPermitted(const StepKey &step, const std::string &worker) const {
+  // The other workers have room for every gang in the tests.
+  if (this->options.permittedShare >= 1)
+    return worker.compare(0, 2, "w" + std::to_string(hashOf(step.job) % this->workers.size())) != 0;
+  const std::uint64_t drawn =
+      hashOf(step.job + '.' + std::to_string(step.step) + '.' + worker) % 1000;
+  return static_cast<double>(drawn) < this->options.permittedShare * 1000;
 }
 
 template <typename Order, typename Answer, typename Carry, typename Report>
@@ -210,7 +245,7 @@
   const auto answer = [this, sentTerm, report, id = order.id](std::int64_t timeMs, Answer value) {
     this->at(timeMs, [this, sentTerm, report, id, value] {
       if (this->term == sentTerm && this->dispatcher)
-        report(id, value);
+        this->timed([&] { report(id, value); });
     });
   };
   const std::int64_t arrivalMs = this->nowMs + 1 + static_cast<std::int64_t>(this->source.below(9));
@@ -286,14 +321,12 @@
     AdviceAnswer answer;
     answer.answered = this->source.unit() >= this->options.lostShare;
     for (const std::string &worker : ask->workers) {
-      // The service refuses one worker per job. The others have room for every gang in the tests.
-      const std::size_t refused = std::hash<std::string>{}(ask->step.job) % this->workers.size();
-      if (worker.compare(0, 2, "w" + std::to_string(refused)) != 0)
+      if (this->isPermitted(ask->step, worker))
         answer.tickets.emplace_back(worker, "ticket");
     }
     this->at(this->nowMs + ask->expectedMs, [this, answer, id = ask->id, sentTerm = this->term] {
       if (this->term == sentTerm)
-        this->dispatcher->onAdviceAnswer(id, answer, this->clock());
+        this->timed([&] { this->dispatcher->onAdviceAnswer(id, answer, this->clock()); });
     });
   }
 }
@@ -317,7 +350,7 @@
   base::Resources used;
   for (const TaskKey &task : this->runningOn[worker])
     used = used + this->table.findJob(task.job)->spec.steps[task.step].demand;
-  if (!used.fitsIn({8000, 8000, 0}))
+  if (!used.fitsIn(this->options.capacity))
     this->violations.push_back("capacity exceeded on worker " + worker);
 }
 
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace banyanrill::jobs::test {
 
@@ -19,6 +20,10 @@
   double lostShare = 0; ///< Share of calls whose order or answer is lost.
   double failShare = 0; ///< Share of runs that fail.
   bool advice = false;
+  std::size_t advisers = 3; ///< Daemons that can call the advisory service.
+  /// Share of the workers that the advisory service permits for a step. 1: all but one per job.
+  double permittedShare = 1;
+  base::Resources capacity = {8000, 8000, 0}; ///< Of each worker.
 };
 
 /// Not thread-safe.
@@ -27,6 +32,7 @@
   explicit FakeCell(CellOptions cellOptions);
 
   void submit(JobSpec spec, std::uint32_t priority = 0);
+  void submit(JobSpec spec, Queue queue);
   void cancel(const std::string &job);
   void changeLeader();
   void cut(std::size_t worker, bool isCut) { this->links.at(worker).cut = isCut; }
@@ -46,6 +52,8 @@
   const Table &jobTable() const { return this->table; }
   DispatcherCounters counters() const { return this->dispatcher->counters(); }
   std::uint64_t waiting() const { return this->dispatcher->waitingIn("queue"); }
+  /// Returns the time that the dispatcher itself has used.
+  std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
   base::RandomSource &random() { return this->source; }
 
@@ -69,6 +77,9 @@
   void at(std::int64_t timeMs, std::function<void()> function);
   void processActions();
   void commitDueCommands();
+  /// Calls the dispatcher and adds the duration to `spent`.
+  template <typename Function> auto timed(Function function);
+  bool isPermitted(const StepKey &step, const std::string &worker) const;
   void execute(Action &action);
   template <typename Order, typename Answer, typename Carry, typename Report>
   void call(const Order &order, Carry carry, Report report, std::int64_t timeoutMs);
@@ -92,6 +103,8 @@
       log; ///< Proposed commands, each with its commit time in ms.
   std::vector<std::unique_ptr<FakeWorker>> workers;
   std::vector<Link> links;
+  std::unordered_map<std::string, std::size_t> byAddress;
+  std::chrono::nanoseconds spent{0};
   std::map<TaskKey, TaskHistory> tasks;
   std::map<std::string, std::set<TaskKey>> runningOn;
   std::int64_t nextReportMs = 0;
