Let the leader's decisions follow events instead of the cell's size

Every 100 ms all sessions were examined with all their runs, ended jobs were searched from the beginning, each advisory call and each recheck of a step scanned all workers, and rooms and tickets were looked up by strings. Ruled out: the table and its encoding (101 ms and 11 ms), the consensus messages (3 ms).

--- a/packages/jobs/src/AdviceDesk.cpp
+++ b/packages/jobs/src/AdviceDesk.cpp
@@ -30,7 +30,7 @@
   return known == this->steps.end() ? nullptr : &known->second;
 }
 
-const Ticket *AdviceDesk::ticketFor(const StepKey &step, const std::string &worker,
+const Ticket *AdviceDesk::ticketFor(const StepKey &step, WorkerNumber worker,
                                     base::TimePoint now) const {
   const StepAdvice *advice = this->find(step);
   if (advice == nullptr)
@@ -56,8 +56,10 @@
   return order;
 }
 
-std::optional<StepKey> AdviceDesk::onAnswer(OrderId id, const AdviceAnswer &answer,
-                                            base::TimePoint now) {
+std::optional<StepKey> AdviceDesk::onAnswer(
+    OrderId id, const AdviceAnswer &answer,
+    const std::function<std::optional<WorkerNumber>(const std::string &)> &numberOf,
+    base::TimePoint now) {
   const auto found = this->asked.find(id);
   if (found == this->asked.end())
     return std::nullopt;
@@ -74,18 +76,23 @@
     advice.askAgain = now + RetryPause;
     return call.step;
   }
-  for (const std::string &worker : call.workers)
-    advice.bad.insert(worker);
+  for (const std::string &worker : call.workers) {
+    if (const std::optional<WorkerNumber> number = numberOf(worker))
+      advice.bad.insert(*number);
+  }
   // The life of a ticket begins when the service answers; the answer's way back is in the margin.
   const base::TimePoint until = now + std::chrono::milliseconds(call.ticketLifeMs) - TicketMargin;
   for (const auto &[worker, ticket] : answer.tickets) {
-    advice.bad.erase(worker);
-    advice.tickets[worker] = {ticket, until};
+    const std::optional<WorkerNumber> number = numberOf(worker);
+    if (!number)
+      continue;
+    advice.bad.erase(*number);
+    advice.tickets[*number] = {ticket, until};
   }
   return call.step;
 }
 
-void AdviceDesk::forgetWorker(const std::string &worker) {
+void AdviceDesk::forgetWorker(WorkerNumber worker) {
   for (auto &[step, advice] : this->steps) {
     advice.tickets.erase(worker);
     advice.bad.erase(worker);
--- a/packages/jobs/src/AdviceDesk.h
+++ b/packages/jobs/src/AdviceDesk.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "StepQueue.h"
+#include "WorkerSession.h"
 #include "banyanrill/jobs/Orders.h"
 
 #include <functional>
@@ -23,10 +24,12 @@
 
 /// What the service said of one step. Which workers are good never changes; tickets expire.
 struct StepAdvice {
-  std::map<std::string, Ticket> tickets;
-  std::set<std::string> bad;
+  std::map<WorkerNumber, Ticket> tickets;
+  std::set<WorkerNumber> bad;
   bool asking = false;
   base::TimePoint askAgain = base::TimePoint::min();
+  /// When to look for workers that no call has named; later than `askAgain` if there were none.
+  base::TimePoint discoverAgain = base::TimePoint::min();
 };
 
 /// Each daemon has one call at a time: the service serves the calls of a machine in turn, so a
@@ -40,18 +43,21 @@
   StepAdvice &of(const StepKey &step) { return this->steps[step]; }
   /// Null if nothing is known of the step.
   const StepAdvice *find(const StepKey &step) const;
-  const Ticket *ticketFor(const StepKey &step, const std::string &worker,
-                          base::TimePoint now) const;
+  const Ticket *ticketFor(const StepKey &step, WorkerNumber worker, base::TimePoint now) const;
 
   /// Precondition: `hasFreeAdviser()`.
   AdviceOrder ask(OrderId id, const OpenStep &step, std::vector<std::string> workers,
                   base::TimePoint now);
 
+  /// `numberOf` returns a worker's number, or nothing if it has gone.
   /// \returns the step, or nothing for an unknown order.
-  std::optional<StepKey> onAnswer(OrderId id, const AdviceAnswer &answer, base::TimePoint now);
+  std::optional<StepKey>
+  onAnswer(OrderId id, const AdviceAnswer &answer,
+           const std::function<std::optional<WorkerNumber>(const std::string &)> &numberOf,
+           base::TimePoint now);
 
   /// A worker that left or began a new life: its tickets are void.
-  void forgetWorker(const std::string &worker);
+  void forgetWorker(WorkerNumber worker);
   void forgetJob(const std::string &job);
 
 private:
--- a/packages/jobs/src/Api.cpp
+++ b/packages/jobs/src/Api.cpp
@@ -1,5 +1,6 @@
 #include "banyanrill/jobs/Api.h"
 
+#include <algorithm>
 #include <array>
 
 namespace banyanrill::jobs {
@@ -34,6 +35,13 @@
 
 } // namespace
 
+bool isIdentifier(std::string_view text, std::size_t maxBytes) {
+  return !text.empty() && text.size() <= maxBytes &&
+         std::all_of(text.begin(), text.end(), [](char character) {
+           return character > ' ' && character <= '~' && character != '/';
+         });
+}
+
 std::string subjectOf(const Request &request) { return std::visit(SubjectVisitor(), request); }
 
 std::string_view nameOf(const Request &request) {
--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/Collecting.cpp
@@ -20,6 +20,9 @@
 /// A gang fails with any of its members, so workers with a higher failure rate are excluded.
 constexpr double MaxFailureShare = 0.4;
 
+/// A gang that has asked about all workers looks for new ones after this time.
+constexpr base::Duration AllNamedRecheckInterval = std::chrono::milliseconds(400);
+
 /// Maximum number of workers in one advisory call; limit of the service.
 constexpr std::size_t MaxNamed = 100;
 
@@ -84,11 +87,8 @@
     for (auto &[id, session] : this->sessions)
       add(session);
   } else {
-    for (const auto &[id, ticket] : this->desk.of(open.key).tickets) {
-      const auto session = this->sessions.find(id);
-      if (session != this->sessions.end())
-        add(session->second);
-    }
+    for (const auto &[number, ticket] : this->desk.of(open.key).tickets)
+      add(*this->byNumber[number]);
   }
   std::sort(openings.begin(), openings.end(),
             [](const Opening &left, const Opening &right) { return left.at < right.at; });
@@ -139,7 +139,7 @@
     if (std::find(names.begin(), names.end(), id) != names.end())
       continue;
     names.push_back(id);
-    const Ticket *ticket = this->desk.ticketFor(open.key, id, this->now);
+    const Ticket *ticket = this->desk.ticketFor(open.key, opening.session->number, this->now);
     expired = expired || ticket == nullptr || ticket->until < start;
   }
   if (!expired || names.size() > MaxNamed ||
@@ -147,9 +147,10 @@
     return;
   // Tickets for further permitted workers cost little in the same call, and expected end times are
   // estimates.
-  for (const auto &[id, ticket] : advice.tickets) {
+  for (const auto &[number, ticket] : advice.tickets) {
     if (names.size() >= MaxNamed || names.size() >= chosen.size() * 2)
       break;
+    const std::string &id = this->byNumber[number]->incarnation.id;
     if (std::find(names.begin(), names.end(), id) == names.end())
       names.push_back(id);
   }
@@ -160,7 +161,8 @@
   if (!open.job->queue.advice)
     return;
   StepAdvice &advice = this->desk.of(open.key);
-  if (advice.asking || this->now < advice.askAgain || !this->desk.hasFreeAdviser())
+  if (advice.asking || this->now < std::max(advice.askAgain, advice.discoverAgain) ||
+      !this->desk.hasFreeAdviser())
     return;
   advice.askAgain = this->now + AdviceRecheckInterval;
   struct Unknown {
@@ -171,13 +173,16 @@
   std::vector<Unknown> unknown;
   const base::Resources demand = demandOf(*open.step);
   for (auto &[id, session] : this->sessions) {
-    if (!demand.fitsIn(session.worker->profile.capacity) || advice.tickets.count(id) != 0 ||
-        advice.bad.count(id) != 0 || !this->isEligible(open, session))
+    if (!demand.fitsIn(session.worker->profile.capacity) ||
+        advice.tickets.count(session.number) != 0 || advice.bad.count(session.number) != 0 ||
+        !this->isEligible(open, session))
       continue;
     unknown.push_back({&id, slotsFor(this->freeRoom(session), demand), this->random.next()});
   }
-  if (unknown.empty())
+  if (unknown.empty()) {
+    advice.discoverAgain = this->now + AllNamedRecheckInterval;
     return;
+  }
   const std::size_t most =
       std::min({unknown.size(), MaxNamed,
                 std::max(MinAdvised, NamesPerMember * static_cast<std::size_t>(open.step->count))});
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -67,10 +67,8 @@
   this->desk.forgetJob(id);
   this->abandonedGangs.erase(this->abandonedGangs.lower_bound({id, 0, 0}),
                              this->abandonedGangs.upper_bound({id, UINT32_MAX, UINT32_MAX}));
-  if (job == nullptr)
-    this->ended.erase(id);
-  else
-    this->ended.emplace(id, job->endedMs);
+  if (job != nullptr)
+    this->ended.emplace(job->endedMs, id);
 }
 
 void Dispatcher::State::markBegun(const std::string &job) {
@@ -116,19 +114,23 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(this->options.endedJobRetention)
           .count();
   ForgetJobs command;
-  for (const auto &[id, endedMs] : this->ended) {
-    if (command.jobs.size() >= MaxForgotten)
+  for (auto next = this->ended.begin(); next != this->ended.end();) {
+    const auto &[endedMs, id] = *next;
+    if (command.jobs.size() >= MaxForgotten || this->table.state().lastTimeMs < endedMs + keepMs)
       break;
     const Job *job = this->table.findJob(id);
-    if (job == nullptr || this->table.state().lastTimeMs < endedMs + keepMs)
+    if (job == nullptr || job->phase == JobPhase::Active || job->endedMs != endedMs) {
+      next = this->ended.erase(next);
       continue;
+    }
+    ++next;
     const bool occupies =
         std::any_of(job->occurrences.begin(), job->occurrences.end(), [](const auto &entry) {
           return std::any_of(entry.second.steps.begin(), entry.second.steps.end(),
                              [](const StepProgress &step) { return step.placements > 0; });
         });
     if (!occupies)
-      command.jobs.push_back(id);
+      command.jobs.push_back(job->spec.id);
   }
   if (!command.jobs.empty())
     this->actions.emplace_back(Command(std::move(command)));
@@ -138,17 +140,17 @@
   const Worker *worker = this->table.findWorker(id);
   this->planNeeded = true;
   if (worker == nullptr) {
-    this->sessions.erase(id);
-    this->desk.forgetWorker(id);
-    this->speeds.forgetWorker(id);
+    this->removeSession(id);
     return;
   }
   const auto [position, isNew] = this->sessions.try_emplace(id);
   WorkerSession &session = position->second;
   if (isNew || session.incarnation != worker->profile.incarnation) {
+    const WorkerNumber number = isNew ? this->takeNumber(session) : session.number;
     if (!isNew)
-      this->desk.forgetWorker(id);
+      this->desk.forgetWorker(number);
     session = WorkerSession();
+    session.number = number;
     session.proposed = this->proposedOn(id);
     session.incarnation = worker->profile.incarnation;
     session.lastAnswer = this->now;
@@ -162,6 +164,58 @@
   this->dirtyWorkers.insert(id);
 }
 
+void Dispatcher::State::removeSession(const std::string &id) {
+  const auto found = this->sessions.find(id);
+  if (found == this->sessions.end())
+    return;
+  for (const auto &[task, run] : found->second.runs)
+    this->examineGang(task);
+  this->desk.forgetWorker(found->second.number);
+  this->speeds.forgetWorker(id);
+  this->byNumber[found->second.number] = nullptr;
+  this->freeNumbers.push_back(found->second.number);
+  this->sessions.erase(found);
+}
+
+WorkerNumber Dispatcher::State::takeNumber(WorkerSession &session) {
+  if (this->freeNumbers.empty()) {
+    this->freeNumbers.push_back(static_cast<WorkerNumber>(this->byNumber.size()));
+    this->byNumber.push_back(nullptr);
+  }
+  const WorkerNumber number = this->freeNumbers.back();
+  this->freeNumbers.pop_back();
+  this->byNumber[number] = &session;
+  return number;
+}
+
+std::optional<WorkerNumber> Dispatcher::State::numberOf(const std::string &worker) const {
+  const auto found = this->sessions.find(worker);
+  if (found == this->sessions.end())
+    return std::nullopt;
+  return found->second.number;
+}
+
+void Dispatcher::State::examineLater(const std::string &worker, const TaskKey &task) {
+  const auto session = this->sessions.find(worker);
+  if (session == this->sessions.end())
+    return;
+  this->dirtyWorkers.insert(worker);
+  if (const auto run = session->second.runs.find(task); run != session->second.runs.end())
+    run->second.mustExamine = true;
+}
+
+void Dispatcher::State::examineGang(const TaskKey &task) {
+  const Job *job = this->table.findJob(task.job);
+  if (job == nullptr || !job->spec.steps[task.step].gang)
+    return;
+  const auto occurrence = job->occurrences.find(task.occurrence);
+  if (occurrence == job->occurrences.end())
+    return;
+  const std::vector<Task> &members = occurrence->second.steps[task.step].tasks;
+  for (std::uint32_t index = 0; index < members.size(); ++index)
+    this->examineLater(members[index].worker, {task.job, task.occurrence, task.step, index});
+}
+
 Dispatcher::Dispatcher(const Table &table, DispatcherOptions options, base::RandomSource random,
                        base::TimePoint now, std::int64_t wallClockMs)
     : state(std::make_unique<State>(table, options, random, now, wallClockMs)) {}
@@ -183,21 +237,26 @@
         dispatcher.recordDuration(session->second, end);
         dispatcher.markBegun(end.run.task.job);
         session->second.runs.erase(end.run.task);
+        if (end.kind != EndKind::Succeeded)
+          dispatcher.examineGang(end.run.task);
       }
+    } else if (const auto *released = std::get_if<ReleaseRuns>(&command)) {
+      for (const ReleasedRun &run : released->runs)
+        dispatcher.examineGang(run.run.task);
     }
   }
   for (const std::string &worker : effect.changedWorkers)
     dispatcher.refreshWorker(worker);
   for (const PlacedRun &placed : effect.placed) {
-    const auto pending = dispatcher.pending.find(placed.run.task);
+    const PendingRun *pending = dispatcher.findPending(placed.run.task);
     const auto session = dispatcher.sessions.find(placed.worker);
     if (session == dispatcher.sessions.end())
       continue;
     RunStatus view;
     view.placedAt = now;
-    if (pending != dispatcher.pending.end() && pending->second.run == placed.run.run) {
-      view.ticket = pending->second.ticket;
-      view.ticketUntil = pending->second.ticketUntil;
+    if (pending != nullptr && pending->run == placed.run.run) {
+      view.ticket = pending->ticket;
+      view.ticketUntil = pending->ticketUntil;
     }
     session->second.runs[placed.run.task] = std::move(view);
   }
@@ -220,10 +279,11 @@
     if (job == nullptr)
       continue;
     for (const auto &[number, occurrence] : job->occurrences) {
-      for (const StepProgress &step : occurrence.steps) {
-        for (const Task &task : step.tasks) {
-          if (!task.worker.empty())
-            dispatcher.dirtyWorkers.insert(task.worker);
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        const std::vector<Task> &tasks = occurrence.steps[step].tasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+          if (!tasks[index].worker.empty() && tasks[index].phase != TaskPhase::Succeeded)
+            dispatcher.examineLater(tasks[index].worker, {id, number, step, index});
         }
       }
     }
@@ -257,7 +317,8 @@
   this->state->now = now;
   if (!answer.answered)
     ++this->state->counters.adviceFailures;
-  if (this->state->desk.onAnswer(order, answer, now))
+  const auto numberOf = [this](const std::string &worker) { return this->state->numberOf(worker); };
+  if (this->state->desk.onAnswer(order, answer, numberOf, now))
     this->state->planNeeded = true;
 }
 
@@ -271,8 +332,10 @@
     dispatcher.openDueOccurrences();
     dispatcher.forgetEndedJobs();
     dispatcher.planNeeded = true;
-    for (const auto &[id, session] : dispatcher.sessions)
-      dispatcher.dirtyWorkers.insert(id);
+    for (const auto &[id, session] : dispatcher.sessions) {
+      if (session.isDue(now))
+        dispatcher.dirtyWorkers.insert(id);
+    }
   }
   const std::set<std::string> dirty = std::exchange(dispatcher.dirtyWorkers, {});
   for (const std::string &id : dirty) {
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -45,12 +45,16 @@
   std::int64_t wallClockMs = 0;
 
   std::map<std::string, WorkerSession> sessions;
+  std::vector<WorkerSession *> byNumber; ///< Null where no session has the number.
+  std::vector<WorkerNumber> freeNumbers;
+  /// Sessions with their free millicores, most first; filled in once per planning round.
+  std::vector<std::pair<std::int64_t, WorkerSession *>> byFreeProcessors;
   std::set<std::string> dirtyWorkers;
   base::TimePoint nextSweep = base::TimePoint::min();
   StepQueue queue;
   AdviceDesk desk;
   SpeedTable speeds;
-  std::map<TaskKey, PendingRun> pending;
+  std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
   std::map<StepKey, std::uint32_t> abandonedGangs; ///< Runs of gangs that did not start together.
   OrderId lastOrder = 0;
@@ -58,9 +62,9 @@
   base::TimePoint nextPlan = base::TimePoint::min();
   std::set<std::string> begun;                  ///< Active jobs with a run that a worker confirmed.
   std::map<std::string, std::uint64_t> waiting; ///< Number of jobs not begun, by queue.
-  std::map<std::string, std::string> waitingJobs; ///< Queue of each job not begun.
-  std::map<std::string, std::int64_t> ended;      ///< End time of each ended job, for removal.
-  std::set<std::string> repeatingJobs;            ///< Jobs with occurrences that are not open yet.
+  std::map<std::string, std::string> waitingJobs;       ///< Queue of each job not begun.
+  std::set<std::pair<std::int64_t, std::string>> ended; ///< Jobs to remove, by end time in ms.
+  std::set<std::string> repeatingJobs; ///< Jobs with occurrences that are not open yet.
   std::vector<Action> actions;
   std::vector<ReleasedRun> releases;
   DispatcherCounters counters;
@@ -74,6 +78,12 @@
 
   // Workers.
   void refreshWorker(const std::string &id);
+  void removeSession(const std::string &id);
+  WorkerNumber takeNumber(WorkerSession &session);
+  std::optional<WorkerNumber> numberOf(const std::string &worker) const;
+  void examineLater(const std::string &worker, const TaskKey &task);
+  /// Examines the other members of a gang after one of them has ended.
+  void examineGang(const TaskKey &task);
   void advanceWorker(const Worker &worker, WorkerSession &session);
   void advanceRuns(const Worker &worker, WorkerSession &session);
   void advanceRun(const Worker &worker, WorkerSession &session, const TaskKey &task,
@@ -98,9 +108,14 @@
 
   // Placement.
   void plan();
-  void place(const OpenStep &open, PlaceRuns &command);
-  void placeGang(const OpenStep &open, PlaceRuns &command);
+  void place(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
+             PlaceRuns &command);
+  void placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
+                 PlaceRuns &command);
   std::vector<std::uint32_t> waitingTasks(const OpenStep &open) const;
+  /// Calls `function` for each session that may have room for the demand, until it returns false.
+  template <typename Function>
+  void forEachWithRoom(const base::Resources &demand, Function function);
   /// Returns the workers that may run the step and have room for at least one of its tasks.
   std::vector<WorkerSession *> candidatesFor(const OpenStep &open);
   WorkerSession *chooseWorker(const OpenStep &open, const Task &task,
@@ -109,7 +124,7 @@
   std::optional<double> scoreOf(const OpenStep &open, const Task &task, WorkerSession &session);
   void assign(const OpenStep &open, std::uint32_t index, std::uint32_t run, WorkerSession &session,
               PlaceRuns &command);
-  void considerAdvice(const OpenStep &open);
+  void considerAdvice(const OpenStep &open, std::uint32_t needed);
   void ask(const OpenStep &open, std::vector<std::string> workers);
 
   // Reservations for gangs (Collecting.cpp).
@@ -122,8 +137,10 @@
   bool isEligible(const OpenStep &open, const WorkerSession &session) const;
   std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
   base::Resources freeRoom(WorkerSession &session);
-  base::TimePoint expectedEnd(const WorkerSession &session, const TaskKey &task,
-                              const Job &job) const;
+  const RunFootprint *footprintOf(const WorkerSession &session, const TaskKey &task,
+                                  RunStatus &run) const;
+  base::TimePoint expectedEnd(const RunStatus &run) const;
+  const PendingRun *findPending(const TaskKey &task) const;
   void dropPending(const TaskKey &task);
   base::Resources proposedOn(const std::string &worker) const;
   std::map<std::string, std::uint32_t> tasksPerWorker(const OpenStep &open) const;
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -73,15 +73,17 @@
     session.latencySensitiveRuns = 0;
     session.endings.clear();
     for (const auto &[task, placement] : session.worker->placements) {
-      const Job *job = this->table.findJob(task.job);
-      if (job == nullptr)
+      const auto [run, isNew] = session.runs.try_emplace(task);
+      if (isNew)
+        run->second.inherited = true;
+      const RunFootprint *footprint = this->footprintOf(session, task, run->second);
+      if (footprint == nullptr)
         continue;
-      const Step &step = job->spec.steps[task.step];
-      session.used = session.used + demandOf(step);
-      session.bestEffortRuns += step.bestEffortCpu ? 1 : 0;
-      session.latencySensitiveRuns += step.responseTargetMs > 0 ? 1 : 0;
-      if (!step.longRunning)
-        session.endings.push_back({this->expectedEnd(session, task, *job), demandOf(step)});
+      session.used = session.used + footprint->demand;
+      session.bestEffortRuns += footprint->bestEffort ? 1 : 0;
+      session.latencySensitiveRuns += footprint->latencySensitive ? 1 : 0;
+      if (!footprint->longRunning)
+        session.endings.push_back({this->expectedEnd(run->second), footprint->demand});
     }
     std::sort(session.endings.begin(), session.endings.end(),
               [](const ExpectedEnd &left, const ExpectedEnd &right) { return left.at < right.at; });
@@ -90,23 +92,38 @@
   return session.worker->profile.capacity - session.used - session.proposed;
 }
 
-base::TimePoint Dispatcher::State::expectedEnd(const WorkerSession &session, const TaskKey &task,
-                                               const Job &job) const {
-  const base::Duration takes = this->speeds.expected(session.incarnation.id, job.queue.name,
-                                                     job.spec.steps[task.step].estimatedMs);
-  const auto view = session.runs.find(task);
-  if (view == session.runs.end() || view->second.inherited)
-    return this->now + takes / 2; // Start time unknown.
-  const RunStatus &run = view->second;
-  return (run.startedAt == base::TimePoint::max() ? run.placedAt : run.startedAt) + takes;
+const RunFootprint *Dispatcher::State::footprintOf(const WorkerSession &session,
+                                                   const TaskKey &task, RunStatus &run) const {
+  if (run.footprint)
+    return &*run.footprint;
+  const Job *job = this->table.findJob(task.job);
+  if (job == nullptr)
+    return nullptr;
+  const Step &step = job->spec.steps[task.step];
+  run.footprint =
+      RunFootprint{demandOf(step),
+                   this->speeds.expected(session.incarnation.id, job->queue.name, step.estimatedMs),
+                   step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning};
+  return &*run.footprint;
+}
+
+base::TimePoint Dispatcher::State::expectedEnd(const RunStatus &run) const {
+  if (run.inherited)
+    return this->now + run.footprint->duration / 2; // Start time unknown.
+  return (run.startedAt == base::TimePoint::max() ? run.placedAt : run.startedAt) +
+         run.footprint->duration;
 }
 
 base::Resources Dispatcher::State::proposedOn(const std::string &worker) const {
   base::Resources sum;
-  for (const auto &[task, run] : this->pending) {
-    const Job *job = run.worker == worker ? this->table.findJob(task.job) : nullptr;
-    if (job != nullptr)
-      sum = sum + demandOf(job->spec.steps[task.step]);
+  for (const auto &[step, runs] : this->pending) {
+    const Job *job = this->table.findJob(step.job);
+    if (job == nullptr)
+      continue;
+    const auto count = std::count_if(runs.begin(), runs.end(), [&worker](const auto &entry) {
+      return entry.second.worker == worker;
+    });
+    sum = sum + demandOf(job->spec.steps[step.step]) * count;
   }
   return sum;
 }
@@ -131,27 +148,47 @@
   std::map<std::string, std::uint32_t> counts;
   if (open.step->maxPerWorker == 0)
     return counts;
-  for (std::uint32_t index = 0; index < open.progress->tasks.size(); ++index) {
-    const Task &task = open.progress->tasks[index];
+  for (const Task &task : open.progress->tasks) {
     if (task.phase == TaskPhase::Placed)
       ++counts[task.worker];
-    const auto pendingRun =
-        this->pending.find({open.key.job, open.key.occurrence, open.key.step, index});
-    if (pendingRun != this->pending.end() && task.phase == TaskPhase::Waiting)
-      ++counts[pendingRun->second.worker];
+  }
+  const auto proposed = this->pending.find(open.key);
+  if (proposed == this->pending.end())
+    return counts;
+  for (const auto &[index, run] : proposed->second) {
+    if (open.progress->tasks[index].phase == TaskPhase::Waiting)
+      ++counts[run.worker];
   }
   return counts;
 }
 
 std::vector<std::uint32_t> Dispatcher::State::waitingTasks(const OpenStep &open) const {
-  std::vector<std::uint32_t> waitingIndices;
-  for (std::uint32_t index = 0; index < open.progress->tasks.size(); ++index) {
-    if (open.progress->tasks[index].phase != TaskPhase::Waiting)
-      continue;
-    if (this->pending.count({open.key.job, open.key.occurrence, open.key.step, index}) == 0)
-      waitingIndices.push_back(index);
+  const auto proposed = this->pending.find(open.key);
+  if (proposed == this->pending.end())
+    return open.waiting;
+  std::vector<std::uint32_t> indices;
+  for (const std::uint32_t index : open.waiting) {
+    if (proposed->second.count(index) == 0)
+      indices.push_back(index);
+  }
+  return indices;
+}
+
+template <typename Function>
+void Dispatcher::State::forEachWithRoom(const base::Resources &demand, Function function) {
+  if (this->byFreeProcessors.empty()) {
+    for (auto &[id, session] : this->sessions)
+      this->byFreeProcessors.emplace_back(this->freeRoom(session).millicores, &session);
+    std::sort(this->byFreeProcessors.begin(), this->byFreeProcessors.end(),
+              [](const auto &left, const auto &right) {
+                return left.first != right.first ? left.first > right.first
+                                                 : left.second->number < right.second->number;
+              });
+  }
+  for (const auto &[millicores, session] : this->byFreeProcessors) {
+    if (millicores < demand.millicores || !function(*session))
+      return;
   }
-  return waitingIndices;
 }
 
 std::vector<WorkerSession *> Dispatcher::State::candidatesFor(const OpenStep &open) {
@@ -162,17 +199,18 @@
       candidates.push_back(&session);
   };
   if (!open.job->queue.advice) {
-    for (auto &[id, session] : this->sessions)
+    this->forEachWithRoom(demand, [&consider](WorkerSession &session) {
       consider(session);
+      return true;
+    });
     return candidates;
   }
   const StepAdvice *advice = this->desk.find(open.key);
   if (advice == nullptr)
     return candidates;
-  for (const auto &[id, ticket] : advice->tickets) {
-    const auto session = this->sessions.find(id);
-    if (ticket.until > this->now && session != this->sessions.end())
-      consider(session->second);
+  for (const auto &[number, ticket] : advice->tickets) {
+    if (ticket.until > this->now)
+      consider(*this->byNumber[number]);
   }
   return candidates;
 }
@@ -223,25 +261,36 @@
   return best;
 }
 
+const PendingRun *Dispatcher::State::findPending(const TaskKey &task) const {
+  const auto step = this->pending.find({task.job, task.occurrence, task.step});
+  if (step == this->pending.end())
+    return nullptr;
+  const auto run = step->second.find(task.index);
+  return run == step->second.end() ? nullptr : &run->second;
+}
+
 void Dispatcher::State::dropPending(const TaskKey &task) {
-  const auto found = this->pending.find(task);
-  if (found == this->pending.end())
+  const PendingRun *run = this->findPending(task);
+  if (run == nullptr)
     return;
   const Job *job = this->table.findJob(task.job);
-  const auto session = this->sessions.find(found->second.worker);
+  const auto session = this->sessions.find(run->worker);
   if (job != nullptr && session != this->sessions.end())
     session->second.proposed = session->second.proposed - demandOf(job->spec.steps[task.step]);
-  this->pending.erase(found);
+  const auto step = this->pending.find({task.job, task.occurrence, task.step});
+  step->second.erase(task.index);
+  if (step->second.empty())
+    this->pending.erase(step);
 }
 
 void Dispatcher::State::assign(const OpenStep &open, std::uint32_t index, std::uint32_t run,
                                WorkerSession &session, PlaceRuns &command) {
   const TaskKey key{open.key.job, open.key.occurrence, open.key.step, index};
   const std::string &id = session.incarnation.id;
-  PendingRun &pendingRun = this->pending[key];
+  PendingRun &pendingRun = this->pending[open.key][index];
   pendingRun.worker = id;
   pendingRun.run = run;
-  if (const Ticket *ticket = this->desk.ticketFor(open.key, id, this->now)) {
+  if (const Ticket *ticket = this->desk.ticketFor(open.key, session.number, this->now)) {
     pendingRun.ticket = ticket->value;
     pendingRun.ticketUntil = ticket->until;
   }
@@ -251,12 +300,13 @@
   command.runs.push_back({{key, run}, id});
 }
 
-void Dispatcher::State::place(const OpenStep &open, PlaceRuns &command) {
+void Dispatcher::State::place(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
+                              PlaceRuns &command) {
   const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
   if (candidates.empty())
     return;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
-  for (const std::uint32_t index : this->waitingTasks(open)) {
+  for (const std::uint32_t index : waitingTasks) {
     if (command.runs.size() >= MaxRunsPerCommand)
       return;
     const Task &task = open.progress->tasks[index];
@@ -268,13 +318,15 @@
   }
 }
 
-void Dispatcher::State::placeGang(const OpenStep &open, PlaceRuns &command) {
-  const std::vector<std::uint32_t> members = this->waitingTasks(open);
+void Dispatcher::State::placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
+                                  PlaceRuns &command) {
+  if (members.size() != open.progress->tasks.size())
+    return;
   const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
   std::size_t slots = 0;
   for (WorkerSession *session : candidates)
     slots += this->slotsIn(open, *session);
-  if (members.size() != open.progress->tasks.size() || slots < members.size())
+  if (slots < members.size())
     return;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   std::uint32_t run = 0;
@@ -307,12 +359,9 @@
   return slots;
 }
 
-void Dispatcher::State::considerAdvice(const OpenStep &open) {
+void Dispatcher::State::considerAdvice(const OpenStep &open, std::uint32_t needed) {
   StepAdvice &advice = this->desk.of(open.key);
-  if (advice.asking || this->now < advice.askAgain)
-    return;
-  const auto needed = static_cast<std::uint32_t>(this->waitingTasks(open).size());
-  if (needed == 0)
+  if (needed == 0 || advice.asking || this->now < advice.askAgain)
     return;
   advice.askAgain = this->now + AdviceRecheckInterval;
   struct Candidate {
@@ -323,13 +372,15 @@
   };
   std::vector<Candidate> candidates;
   const base::Resources demand = demandOf(*open.step);
-  for (auto &[id, session] : this->sessions) {
+  this->forEachWithRoom(demand, [&](WorkerSession &session) {
     if (!demand.fitsIn(this->roomFor(open, session)) || !this->isEligible(open, session) ||
-        advice.bad.count(id) != 0)
-      continue;
+        advice.bad.count(session.number) != 0)
+      return true;
     const std::uint32_t slots = std::min(needed, this->slotsIn(open, session));
-    candidates.push_back({&id, slots, advice.tickets.count(id) != 0, this->random.next()});
-  }
+    candidates.push_back({&session.incarnation.id, slots, advice.tickets.count(session.number) != 0,
+                          this->random.next()});
+    return true;
+  });
   if (candidates.empty())
     return;
   const std::size_t candidateCount = std::min(candidates.size(), MaxAdvised);
@@ -363,19 +414,25 @@
 void Dispatcher::State::plan() {
   PlaceRuns command;
   command.term = this->options.term;
+  this->byFreeProcessors.clear();
   for (auto &[id, session] : this->sessions)
     session.reservation.reset();
   std::size_t reservingGangs = 0;
   for (const OpenStep *open : this->queue.ordered(this->now)) {
+    const std::vector<std::uint32_t> waitingBefore = this->waitingTasks(*open);
+    if (waitingBefore.empty())
+      continue;
+    const std::size_t placedBefore = command.runs.size();
     if (!open->step->gang) {
-      this->place(*open, command);
+      this->place(*open, waitingBefore, command);
+      const std::size_t placed = command.runs.size() - placedBefore;
       if (open->job->queue.advice && this->desk.hasFreeAdviser())
-        this->considerAdvice(*open);
+        this->considerAdvice(*open, static_cast<std::uint32_t>(waitingBefore.size() - placed));
       continue;
     }
-    this->placeGang(*open, command);
-    if (reservingGangs < MaxReservingGangs &&
-        this->waitingTasks(*open).size() == open->step->count) {
+    this->placeGang(*open, waitingBefore, command);
+    if (reservingGangs < MaxReservingGangs && command.runs.size() == placedBefore &&
+        waitingBefore.size() == open->step->count) {
       ++reservingGangs;
       this->reserveForGang(*open);
     }
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -24,17 +24,21 @@
          job.queue.latencyMs;
 }
 
-/// Tasks that may be placed now.
-std::uint32_t countWork(const Job &job, const Occurrence &occurrence, std::uint32_t index) {
+/// Returns the indices of the tasks that may be placed now.
+std::vector<std::uint32_t> waitingTasks(const Job &job, const Occurrence &occurrence,
+                                        std::uint32_t index) {
   const StepProgress &progress = occurrence.steps[index];
+  std::vector<std::uint32_t> waiting;
   if (!Table::isReady(job, occurrence, index))
-    return 0;
+    return waiting;
   // The members of a gang start together, so the last run must be gone entirely.
   if (job.spec.steps[index].gang && progress.placements > 0)
-    return 0;
-  return static_cast<std::uint32_t>(
-      std::count_if(progress.tasks.begin(), progress.tasks.end(),
-                    [](const Task &task) { return task.phase == TaskPhase::Waiting; }));
+    return waiting;
+  for (std::uint32_t task = 0; task < progress.tasks.size(); ++task) {
+    if (progress.tasks[task].phase == TaskPhase::Waiting)
+      waiting.push_back(task);
+  }
+  return waiting;
 }
 
 } // namespace
@@ -71,11 +75,11 @@
   this->acceptedAt.try_emplace(id, now - milliseconds(ageMs));
   for (const auto &[number, occurrence] : job->occurrences) {
     for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
-      const std::uint32_t waiting = countWork(*job, occurrence, index);
-      if (waiting == 0)
+      std::vector<std::uint32_t> waiting = waitingTasks(*job, occurrence, index);
+      if (waiting.empty())
         continue;
       OpenStep open = this->describe({id, number, index}, *job);
-      open.waiting = waiting;
+      open.waiting = std::move(waiting);
       this->steps.emplace(open.key, std::move(open));
     }
   }
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -15,10 +15,10 @@
   const Job *job = nullptr;
   const Step *step = nullptr;
   const StepProgress *progress = nullptr;
-  base::TimePoint due;               ///< When the job, or its occurrence, came.
-  base::TimePoint latestStart;       ///< After this the job misses its aim.
-  base::TimePoint latestUsefulStart; ///< After this its end is worth nothing any more.
-  std::uint32_t waiting = 0;         ///< Tasks that are not placed.
+  base::TimePoint due;                ///< When the job, or its occurrence, came.
+  base::TimePoint latestStart;        ///< After this the job misses its aim.
+  base::TimePoint latestUsefulStart;  ///< After this its end is worth nothing any more.
+  std::vector<std::uint32_t> waiting; ///< Indices of the tasks that are not placed.
 
   /// 0: can still meet its aim; 1: late; 2: worth nothing any more. Durations of the most urgent
   /// queue's short tasks are known too roughly to call one late, and it costs little to start.
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -185,9 +185,7 @@
   if (abandoned >= run.run)
     return;
   abandoned = run.run;
-  const StepProgress &step = job->occurrences.at(run.task.occurrence).steps[run.task.step];
-  for (const Task &member : step.tasks)
-    this->dirtyWorkers.insert(member.worker);
+  this->examineGang(run.task);
 }
 
 void Dispatcher::State::advanceWorker(const Worker &worker, WorkerSession &session) {
@@ -208,9 +206,13 @@
 void Dispatcher::State::advanceRuns(const Worker &worker, WorkerSession &session) {
   if (!session.hasAnswered)
     return;
+  session.unsettledRuns = 0;
   for (const auto &[task, placement] : worker.placements) {
     if (!session.renewalUnanswered) {
       this->advanceRun(worker, session, task, placement);
+      const auto run = session.runs.find(task);
+      const bool isSettled = run != session.runs.end() && run->second.isSettled();
+      session.unsettledRuns += isSettled && !placement.previousIncarnation ? 0 : 1;
       continue;
     }
     if (const auto view = session.runs.find(task); view != session.runs.end())
@@ -224,9 +226,10 @@
   RunStatus &view = position->second;
   if (isNew)
     view.inherited = true;
-  const RunKey run{task, placement.run};
-  if (view.releaseProposed)
+  if (view.releaseProposed || (view.isSettled() && !placement.previousIncarnation))
     return;
+  const RunKey run{task, placement.run};
+  view.mustExamine = false;
   const Job *job = this->table.findJob(task.job);
   const bool abandoned =
       job == nullptr || job->phase == JobPhase::Cancelled || job->phase == JobPhase::Failed;
--- a/packages/jobs/src/WorkerSession.cpp
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -61,6 +61,12 @@
   return *clockNow + std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
 }
 
+bool WorkerSession::isDue(base::TimePoint now) const {
+  const bool renewalIsDue =
+      !this->renewalInFlight && !this->endsProposed && now >= this->nextRenewal;
+  return renewalIsDue || this->unsettledRuns > 0 || this->renewalUnanswered || !this->hasAnswered;
+}
+
 void WorkerSession::noteCall(base::TimePoint now) {
   if (!this->unansweredSince)
     this->unansweredSince = now;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -10,6 +10,18 @@
 
 namespace banyanrill::jobs {
 
+/// Number of a worker's session in one dispatcher. Reused after the worker has gone.
+using WorkerNumber = std::uint32_t;
+
+/// What a run occupies, and for how long.
+struct RunFootprint {
+  base::Resources demand;
+  base::Duration duration{}; ///< Expected.
+  bool bestEffort = false;
+  bool latencySensitive = false;
+  bool longRunning = false;
+};
+
 /// Evidence about one placement. A run that was ordered may be there, or appear seconds later,
 /// until an answer of the worker or the end of its lease proves otherwise.
 struct RunStatus {
@@ -32,6 +44,14 @@
   std::int64_t load = 0;
   base::TimePoint startedAt = base::TimePoint::max(); ///< If its first order to start was answered.
   base::TimePoint progressAt = base::TimePoint::min(); ///< When `percent` last changed.
+  std::optional<RunFootprint> footprint;               ///< Filled in by the planner.
+  /// Its job has ended, its gang has broken, or it was not examined yet.
+  bool mustExamine = true;
+
+  /// Whether it runs as far as is known, and nothing asks for its end.
+  bool isSettled() const {
+    return (this->inherited || this->startAnswered) && !this->stopWanted && !this->mustExamine;
+  }
 };
 
 struct ClockReading {
@@ -62,6 +82,7 @@
 };
 
 struct WorkerSession {
+  WorkerNumber number = 0;
   WorkerIncarnation incarnation;
   const Worker *worker = nullptr; ///< In the table, as long as the session lives.
   bool hasAnswered = false;       ///< Has answered under this leader's fence.
@@ -78,6 +99,7 @@
   /// The first order to start or stop since the last answer of any kind.
   std::optional<base::TimePoint> unansweredSince;
   std::map<TaskKey, RunStatus> runs;
+  std::uint32_t unsettledRuns = 0; ///< At the last examination.
   WorkerHealth health;
 
   // Room, kept current by the planner.
@@ -101,6 +123,9 @@
   /// Successes clear a suspicion; failures of several jobs in a row raise one.
   void noteEnd(const TaskEnd &end, base::TimePoint now);
 
+  /// Whether time alone may ask for an order to the worker, or for its removal.
+  bool isDue(base::TimePoint now) const;
+
   void noteCall(base::TimePoint now);
   void noteAnswered(base::TimePoint now);
   /// Whether it leaves orders unanswered, long before their time limit.
