--- a/packages/jobs/include/banyanrill/jobs/Api.h
+++ b/packages/jobs/include/banyanrill/jobs/Api.h
@@ -3,6 +3,7 @@
 
 #include "banyanrill/jobs/Model.h"
 
+#include <string_view>
 #include <variant>
 
 namespace banyanrill::jobs {
@@ -89,6 +90,11 @@
   bool operator==(const Reply &) const = default;
 };
 
+/// Returns whether an identifier that a caller or worker chose can be stored and passed on: at
+/// least one and at most `maxBytes` printable ASCII characters other than space and '/'. Pure and
+/// thread-safe.
+bool isIdentifier(std::string_view text, std::size_t maxBytes);
+
 /// For logs: the job, worker, queue or version that a request is about.
 std::string subjectOf(const Request &request);
 
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -58,8 +58,8 @@
     });
     return;
   }
-  if (id.empty() || id.size() > MaxJobIdBytes || id.find('/') != std::string::npos ||
-      id.find('.') != std::string::npos) {
+  // A dot would end the job's part of a task's name.
+  if (!jobs::isIdentifier(id, MaxJobIdBytes) || id.find('.') != std::string::npos) {
     reply(replyOf(jobs::ReplyCode::Invalid, "the path does not end with a job's identifier"));
     return;
   }
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -2,10 +2,10 @@
 // is one HTTP request with a time limit, so an unresponsive connection is closed and reopened.
 #include "NodeState.h"
 #include "banyanrill/base/EventLog.h"
+#include "banyanrill/http/Address.h"
 #include "banyanrill/wire/PeerCodec.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace banyanrill::node {
 
@@ -25,18 +25,6 @@
 /// packet loss.
 constexpr std::size_t MaxOutbox = 256;
 
-std::optional<std::pair<std::string, std::uint16_t>> splitAddress(const std::string &address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos)
-    return std::nullopt;
-  std::uint16_t port = 0;
-  const char *end = address.data() + address.size();
-  const auto [stop, error] = std::from_chars(address.data() + colon + 1, end, port);
-  if (error != std::errc() || stop != end || port == 0)
-    return std::nullopt;
-  return std::make_pair(address.substr(0, colon), port);
-}
-
 } // namespace
 
 void Node::State::onPeerRequest(http::ExchangeId exchange, const http::Request &request) {
@@ -85,14 +73,14 @@
 void Node::State::callPeer(
     const std::string &address, const wire::PeerRequest &request, base::Duration timeout,
     std::function<void(base::Verdict, std::optional<wire::PeerReply>)> done) {
-  const std::optional<std::pair<std::string, std::uint16_t>> target = splitAddress(address);
+  const std::optional<http::Address> target = http::parseAddress(address);
   if (!target) {
     done(base::Verdict::DidNotRun, std::nullopt);
     return;
   }
   http::Call call;
-  call.host = target->first;
-  call.port = target->second;
+  call.host = target->host;
+  call.port = target->port;
   call.timeout = timeout;
   call.request.method = "POST";
   call.request.path = PeerPath;
