Drop log lines of single runs before they are formatted

Ruled out: the limit itself; the lines of single runs are the ones that it drops. Change: the output says whether a line would be dropped before it is formatted, and tries to write after 4 KB of new lines only.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -68,6 +68,7 @@
   RequestAnswered = 5002,
   HttpLoopFailed = 6001,
   PeerMessageRejected = 6002,
+  EventHandlerFailed = 6003,
 };
 
 enum class LogTarget {
--- a/packages/base/src/BoundedOutput.cpp
+++ b/packages/base/src/BoundedOutput.cpp
@@ -17,6 +17,9 @@
 /// Frequent lines leave this to rare ones, of the allowance and of the buffer.
 constexpr double ReservedBytes = 64.0 * 1024;
 
+/// Length of a line before it is formatted.
+constexpr std::size_t UsualLineBytes = 256;
+
 /// Between two lines that say how many were dropped.
 constexpr Duration ReportInterval = std::chrono::seconds(1);
 
@@ -38,21 +41,34 @@
   this->refilled = now;
 }
 
+bool BoundedOutput::hasSpace(std::size_t size, LineKind kind) const {
+  const double needed =
+      static_cast<double>(size) + (kind == LineKind::Frequent ? ReservedBytes : 0);
+  return this->allowance >= needed &&
+         static_cast<double>(this->buffer.size()) + needed <= MaxBuffer;
+}
+
+bool BoundedOutput::accepts(LineKind kind) {
+  const std::lock_guard lock(this->mutex);
+  this->refill(steadyNow());
+  const bool accepted = this->hasSpace(UsualLineBytes, kind);
+  this->droppedLines += accepted ? 0 : 1;
+  return accepted;
+}
+
 void BoundedOutput::add(std::string_view line, LineKind kind) {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = steadyNow();
   this->refill(now);
-  const auto size = static_cast<double>(line.size());
-  const double reserved = kind == LineKind::Frequent ? ReservedBytes : 0;
-  if (this->allowance < size + reserved ||
-      static_cast<double>(this->buffer.size()) + size + reserved > MaxBuffer) {
+  if (!this->hasSpace(line.size(), kind)) {
     ++this->droppedLines;
     return;
   }
   this->reportDropped(now);
-  this->allowance -= size;
+  this->allowance -= static_cast<double>(line.size());
   this->buffer.append(line);
-  if (this->buffer.size() >= WriteBytes)
+  this->unwritten += line.size();
+  if (this->unwritten >= WriteBytes)
     this->flushLocked();
 }
 
@@ -71,6 +87,7 @@
 }
 
 void BoundedOutput::flushLocked() {
+  this->unwritten = 0;
   std::size_t written = 0;
   while (written < this->buffer.size()) {
     pollfd event = {this->file, POLLOUT, 0};
--- a/packages/base/src/BoundedOutput.h
+++ b/packages/base/src/BoundedOutput.h
@@ -24,6 +24,10 @@
   /// Adds a line that ends with a line break.
   void add(std::string_view line, LineKind kind = LineKind::Rare);
 
+  /// Whether a line of this kind would be added now. If not, the line counts as dropped, so that
+  /// the caller need not format it.
+  bool accepts(LineKind kind);
+
   /// Writes what the reader takes now.
   void flush();
 
@@ -31,13 +35,15 @@
 
 private:
   void refill(TimePoint now);
+  bool hasSpace(std::size_t size, LineKind kind) const;
   void flushLocked();
   void reportDropped(TimePoint now);
 
   const int file;
   mutable std::mutex mutex;
   std::string buffer;
-  double allowance = 0; ///< Bytes that may be added now.
+  std::size_t unwritten = 0; ///< Bytes added since the last attempt to write.
+  double allowance = 0;      ///< Bytes that may be added now.
   TimePoint refilled = TimePoint::min();
   std::uint64_t droppedLines = 0;
   std::uint64_t reportedLines = 0;
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -3,6 +3,7 @@
 #include "BoundedOutput.h"
 
 #include <array>
+#include <atomic>
 #include <cassert>
 #include <cstdio>
 #include <log4cxx/appenderskeleton.h>
@@ -15,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 39> Catalogue = {{
+constexpr std::array<EventDefinition, 40> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -59,10 +60,15 @@
     {5002, Severity::Info, "request_answered", "A request was answered, with its outcome."},
     {6001, Severity::Error, "http_loop_failed", "The HTTP server could not start or failed."},
     {6002, Severity::Warning, "peer_message_rejected", "A message from a peer was not valid."},
+    {6003, Severity::Error, "event_handler_failed",
+     "One event ended with an unexpected error; the process goes on."},
 }};
 
 constexpr const char *RunLoggerName = "banyanrill.runs";
 
+/// Whether the lines go to the bounded output.
+std::atomic<bool> isBounded = false;
+
 log4cxx::LoggerPtr logger() {
   static const log4cxx::LoggerPtr Instance = log4cxx::Logger::getLogger("banyanrill");
   return Instance;
@@ -159,6 +165,7 @@
   auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
   logger()->setAdditivity(false);
   logger()->removeAllAppenders();
+  isBounded.store(target == LogTarget::StandardOutput);
   if (target == LogTarget::StandardOutput)
     logger()->addAppender(std::make_shared<BoundedAppender>(layout));
   else
@@ -180,6 +187,9 @@
   const log4cxx::LevelPtr level = levelOf(definition.severity);
   if (!logger()->isEnabledFor(level))
     return;
+  // Formatting costs far more than this check, and most of these lines are dropped at peak load.
+  if (isFrequent(event) && isBounded.load() && !standardOutput().accepts(LineKind::Frequent))
+    return;
   std::string line = "\"event\":" + std::to_string(definition.number) + ",\"name\":";
   appendQuoted(line, definition.name);
   for (const EventField &field : fields) {
--- a/packages/base/tests/BoundedOutputTest.cpp
+++ b/packages/base/tests/BoundedOutputTest.cpp
@@ -78,3 +78,18 @@
   CHECK(reports >= 1);
   CHECK(reports <= 3);
 }
+
+/// Lines that were dropped in the end had been formatted first, which took the leader's processor.
+TEST(BoundedOutput, SaysBeforeFormattingWhetherALineWouldBeDropped) {
+  BoundedOutput output(this->ends[1]);
+  CHECK(output.accepts(banyanrill::base::LineKind::Frequent));
+  CHECK_EQUAL(0U, output.dropped());
+  const std::string line = std::string(999, 'x') + "\n";
+  for (int count = 0; count < 2000; ++count)
+    output.add(line, banyanrill::base::LineKind::Frequent);
+  const std::uint64_t dropped = output.dropped();
+  CHECK(!output.accepts(banyanrill::base::LineKind::Frequent));
+  CHECK_EQUAL(dropped + 1, output.dropped());
+  CHECK(output.accepts(banyanrill::base::LineKind::Rare));
+  CHECK_EQUAL(dropped + 1, output.dropped());
+}
