Correct the new test of dropped log lines

Ruled out: the output; the check and its meaning are unchanged. Change: the test fills the output with lines shorter than a usual one.

--- a/packages/base/tests/BoundedOutputTest.cpp
+++ b/packages/base/tests/BoundedOutputTest.cpp
@@ -84,8 +84,8 @@
   BoundedOutput output(this->ends[1]);
   CHECK(output.accepts(banyanrill::base::LineKind::Frequent));
   CHECK_EQUAL(0U, output.dropped());
-  const std::string line = std::string(999, 'x') + "\n";
-  for (int count = 0; count < 2000; ++count)
+  const std::string line = std::string(99, 'x') + "\n";
+  for (int count = 0; count < 20000; ++count)
     output.add(line, banyanrill::base::LineKind::Frequent);
   const std::uint64_t dropped = output.dropped();
   CHECK(!output.accepts(banyanrill::base::LineKind::Frequent));
