Place gangs and reserve for them in rounds of their own, up to 64 at once

Cause: about ten gangs a second come to the large site, and one collects advice, tickets and room for 2 to 4 s, but only 16 had reservations; the others did not even ask for advice. The reservations were found anew in each planning round, which made more of them too dear. Ruled out: the advisers (advice calls rise with the limit). Change: gangs are placed and get reservations every 30 ms, up to 64 of them; single tasks are planned in between with the last reservations; a planning round follows after 4 ms and 25 us for each open step instead of 100 us; sessions keep their worker's slowness.

--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/Collecting.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Reservations are found anew at this interval: a gang waits far longer for advice and room.
+constexpr base::Duration GangRoundInterval = std::chrono::milliseconds(30);
+
 /// Room that is expected later than this is not reserved.
 constexpr base::Duration ReservationHorizon = std::chrono::seconds(6);
 
@@ -47,7 +50,7 @@
     return room;
   const GangReservation &reservation = *session.reservation;
   const base::Duration takes =
-      this->speeds.expected(session.incarnation.id, open.job->queue.name, open.step->estimatedMs);
+      this->speeds.expected(session.slowness, open.job->queue.name, open.step->estimatedMs);
   if (!open.step->longRunning && this->now + takes <= reservation.from)
     return room;
   base::Resources later = room - reservation.amount;
@@ -95,6 +98,15 @@
   return openings;
 }
 
+bool Dispatcher::State::beginGangRound() {
+  if (this->now < this->nextGangRound)
+    return false;
+  this->nextGangRound = this->now + GangRoundInterval;
+  for (auto &[id, session] : this->sessions)
+    session.reservation.reset();
+  return true;
+}
+
 void Dispatcher::State::reserveForGang(const OpenStep &open) {
   std::vector<Opening> openings = this->openingsFor(open);
   std::uint32_t missing = open.step->count;
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -16,7 +16,7 @@
 constexpr base::Duration PlanInterval = std::chrono::milliseconds(4);
 
 /// Added for each open step, so that a long queue does not use up a whole processor.
-constexpr base::Duration PlanIntervalPerStep = std::chrono::microseconds(100);
+constexpr base::Duration PlanIntervalPerStep = std::chrono::microseconds(25);
 
 /// Maximum number of ended jobs that one command removes.
 constexpr std::size_t MaxForgotten = 64;
@@ -76,7 +76,7 @@
     this->refreshJob(job);
 }
 
-void Dispatcher::State::recordDuration(const WorkerSession &session, const TaskEnd &end) {
+void Dispatcher::State::recordDuration(WorkerSession &session, const TaskEnd &end) {
   const auto view = session.runs.find(end.run.task);
   const Job *job = this->table.findJob(end.run.task.job);
   if (end.kind != EndKind::Succeeded || job == nullptr || view == session.runs.end() ||
@@ -91,6 +91,7 @@
     return;
   this->speeds.note(session.incarnation.id, job->queue.name, step.estimatedMs,
                     this->now - view->second.startedAt);
+  session.slowness = this->speeds.slowness(session.incarnation.id);
 }
 
 void Dispatcher::State::openDueOccurrences() {
@@ -153,6 +154,7 @@
     session.number = number;
     session.proposed = this->proposedOn(id);
     session.incarnation = worker->profile.incarnation;
+    session.slowness = this->speeds.slowness(id);
     session.lastAnswer = this->now;
     // A previous leader may have renewed the lease until it noticed the loss of leadership.
     constexpr base::Duration FormerLeaderTime = std::chrono::seconds(2);
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -60,6 +60,7 @@
   OrderId lastOrder = 0;
   bool planNeeded = true;
   base::TimePoint nextPlan = base::TimePoint::min();
+  base::TimePoint nextGangRound = base::TimePoint::min();
   std::set<std::string> begun;                  ///< Active jobs with a run that a worker confirmed.
   std::map<std::string, std::uint64_t> waiting; ///< Number of jobs not begun, by queue.
   std::map<std::string, std::string> waitingJobs;       ///< Queue of each job not begun.
@@ -72,7 +73,7 @@
   // Jobs.
   void refreshJob(const std::string &id);
   void markBegun(const std::string &job);
-  void recordDuration(const WorkerSession &session, const TaskEnd &end);
+  void recordDuration(WorkerSession &session, const TaskEnd &end);
   void openDueOccurrences();
   void forgetEndedJobs();
 
@@ -108,6 +109,8 @@
 
   // Placement.
   void plan();
+  void planTasks(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
+                 PlaceRuns &command);
   void place(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
              PlaceRuns &command);
   void placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
@@ -128,6 +131,8 @@
   void ask(const OpenStep &open, std::vector<std::string> workers);
 
   // Reservations for gangs (Collecting.cpp).
+  /// Begins a round in which gangs are placed or get reservations, if it is time for one.
+  bool beginGangRound();
   void reserveForGang(const OpenStep &open);
   std::vector<Opening> openingsFor(const OpenStep &open);
   void renewGangTickets(const OpenStep &open, const std::vector<Opening> &chosen,
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -17,8 +17,9 @@
 /// many workers.
 constexpr std::size_t AdviceSurplus = 4;
 
-/// Maximum number of gangs with reservations; each costs processor time in every planning round.
-constexpr std::size_t MaxReservingGangs = 16;
+/// Maximum number of gangs with reservations; each costs processor time in every round of gangs. A
+/// gang collects room and tickets for some seconds, and ten and more come in a second.
+constexpr std::size_t MaxReservingGangs = 64;
 
 /// Maximum number of starts and stops in flight to a worker that may get more tasks.
 constexpr std::uint32_t MaxOrdersWaiting = 12;
@@ -100,10 +101,9 @@
   if (job == nullptr)
     return nullptr;
   const Step &step = job->spec.steps[task.step];
-  run.footprint =
-      RunFootprint{demandOf(step),
-                   this->speeds.expected(session.incarnation.id, job->queue.name, step.estimatedMs),
-                   step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning};
+  run.footprint = RunFootprint{
+      demandOf(step), this->speeds.expected(session.slowness, job->queue.name, step.estimatedMs),
+      step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning};
   return &*run.footprint;
 }
 
@@ -230,7 +230,7 @@
     score += 2;
   if (session.reservation && !demand.fitsIn(room - session.reservation->amount))
     score -= ReservedRoomPenalty;
-  const double slowness = this->speeds.slowness(session.incarnation.id);
+  const double slowness = session.slowness;
   if (slowness > MuchSlower)
     score -= MuchSlowerPenalty;
   if (open.latestStart - open.due < TightSlack)
@@ -411,28 +411,36 @@
       this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
 }
 
+void Dispatcher::State::planTasks(const OpenStep &open,
+                                  const std::vector<std::uint32_t> &waitingTasks,
+                                  PlaceRuns &command) {
+  const std::size_t placedBefore = command.runs.size();
+  this->place(open, waitingTasks, command);
+  const std::size_t placed = command.runs.size() - placedBefore;
+  if (open.job->queue.advice && this->desk.hasFreeAdviser())
+    this->considerAdvice(open, static_cast<std::uint32_t>(waitingTasks.size() - placed));
+}
+
 void Dispatcher::State::plan() {
   PlaceRuns command;
   command.term = this->options.term;
   this->byFreeProcessors.clear();
-  for (auto &[id, session] : this->sessions)
-    session.reservation.reset();
+  const bool isGangRound = this->beginGangRound();
   std::size_t reservingGangs = 0;
   for (const OpenStep *open : this->queue.ordered(this->now)) {
-    const std::vector<std::uint32_t> waitingBefore = this->waitingTasks(*open);
-    if (waitingBefore.empty())
+    if (open->step->gang && !isGangRound)
+      continue;
+    const std::vector<std::uint32_t> waitingTasks = this->waitingTasks(*open);
+    if (waitingTasks.empty())
       continue;
-    const std::size_t placedBefore = command.runs.size();
     if (!open->step->gang) {
-      this->place(*open, waitingBefore, command);
-      const std::size_t placed = command.runs.size() - placedBefore;
-      if (open->job->queue.advice && this->desk.hasFreeAdviser())
-        this->considerAdvice(*open, static_cast<std::uint32_t>(waitingBefore.size() - placed));
+      this->planTasks(*open, waitingTasks, command);
       continue;
     }
-    this->placeGang(*open, waitingBefore, command);
+    const std::size_t placedBefore = command.runs.size();
+    this->placeGang(*open, waitingTasks, command);
     if (reservingGangs < MaxReservingGangs && command.runs.size() == placedBefore &&
-        waitingBefore.size() == open->step->count) {
+        waitingTasks.size() == open->step->count) {
       ++reservingGangs;
       this->reserveForGang(*open);
     }
--- a/packages/jobs/src/SpeedTable.cpp
+++ b/packages/jobs/src/SpeedTable.cpp
@@ -44,11 +44,11 @@
   return mean.value * mean.weight / (mean.weight + AssumedSamples);
 }
 
-base::Duration SpeedTable::expected(const std::string &worker, const std::string &queue,
+base::Duration SpeedTable::expected(double slowness, const std::string &queue,
                                     std::int64_t estimatedMs) const {
   const auto usual = this->queues.find(queue);
   const double factor =
-      std::exp((usual == this->queues.end() ? 0 : usual->second.value) + this->slowness(worker));
+      std::exp((usual == this->queues.end() ? 0 : usual->second.value) + slowness);
   return std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double, std::milli>(static_cast<double>(estimatedMs) * factor));
 }
--- a/packages/jobs/src/SpeedTable.h
+++ b/packages/jobs/src/SpeedTable.h
@@ -21,8 +21,8 @@
   /// slow. Close to 0 while little is known.
   double slowness(const std::string &worker) const;
 
-  /// How long a task of this queue should take there.
-  base::Duration expected(const std::string &worker, const std::string &queue,
+  /// How long a task of this queue should take on a worker of this slowness.
+  base::Duration expected(double slowness, const std::string &queue,
                           std::int64_t estimatedMs) const;
 
   void forgetWorker(const std::string &worker) { this->workers.erase(worker); }
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -101,6 +101,7 @@
   std::map<TaskKey, RunStatus> runs;
   std::uint32_t unsettledRuns = 0; ///< At the last examination.
   WorkerHealth health;
+  double slowness = 0; ///< As in the speed table.
 
   // Room, kept current by the planner.
   bool roomStale = true;
@@ -109,7 +110,7 @@
   std::uint32_t bestEffortRuns = 0;           ///< Runs that use what others leave.
   std::uint32_t latencySensitiveRuns = 0;     ///< Runs with a response target.
   std::vector<ExpectedEnd> endings;           ///< The soonest first; runs that last have none.
-  std::optional<GangReservation> reservation; ///< Found anew in each round of placement.
+  std::optional<GangReservation> reservation; ///< Found anew in each round of gangs.
 
   /// Lower bound of the worker's clock now; empty until it has told its clock.
   std::optional<std::int64_t> clockAt(base::TimePoint now) const;
