Let urgent work come before an aged backlog

Change: a step of one priority comes before one of the next priority that must start 3 s earlier. Less urgent work still gets its turn by its age. The test fails on the former order.

--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -12,8 +12,15 @@
 /// A gang needs this time to collect room and tickets for all its members.
 constexpr base::Duration GangLead = std::chrono::milliseconds(6000);
 
-base::TimePoint turnOf(const OpenStep &open) {
-  return open.step->gang ? open.latestStart - GangLead : open.latestStart;
+/// A step of one priority comes before one of the next priority that must start this much earlier.
+/// Under a shortage urgent work wins, and less urgent work still gets its turn by its age.
+constexpr base::Duration AgeingPerPriority = std::chrono::milliseconds(3000);
+
+/// Steps that can still meet their target start in the order of this time.
+base::TimePoint orderingTime(const OpenStep &open) {
+  const base::TimePoint aged =
+      open.latestStart + AgeingPerPriority * static_cast<std::int64_t>(open.job->queue.priority);
+  return open.step->gang ? aged - GangLead : aged;
 }
 
 base::Duration milliseconds(std::int64_t count) { return std::chrono::milliseconds(count); }
@@ -118,9 +125,9 @@
     const std::uint32_t rightTier = right->tierAt(now);
     if (leftTier != rightTier)
       return leftTier < rightTier;
-    const base::TimePoint leftTurn = turnOf(*left);
-    const base::TimePoint rightTurn = turnOf(*right);
-    return leftTurn != rightTurn ? leftTurn < rightTurn : left->key < right->key;
+    const base::TimePoint leftTime = orderingTime(*left);
+    const base::TimePoint rightTime = orderingTime(*right);
+    return leftTime != rightTime ? leftTime < rightTime : left->key < right->key;
   });
   return result;
 }
--- /dev/null
+++ b/packages/jobs/tests/OverloadTest.cpp
@@ -0,0 +1,78 @@
+// Replays loads that exceed what the cell or one part of it can take at once.
+#include "../src/StepQueue.h"
+#include "FakeCell.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanrill;
+using namespace banyanrill::jobs;
+using namespace banyanrill::jobs::test;
+
+namespace {
+
+Queue queueOf(std::uint32_t priority, double stretch, std::int64_t latencyMs) {
+  Queue queue;
+  queue.name = "queue-" + std::to_string(priority);
+  queue.service = "service";
+  queue.priority = priority;
+  queue.stretch = stretch;
+  queue.latencyMs = latencyMs;
+  queue.maxAttempts = 3;
+  return queue;
+}
+
+/// Accepts a job of one task at this time, in ms.
+void accept(Table &table, StepQueue &steps, const std::string &id, const Queue &queue,
+            std::int64_t timeMs) {
+  table.apply({timeMs, {AcceptJob{makeJob(id, 1, 1000, 1000), queue}}});
+  steps.refresh(id, base::TimePoint(std::chrono::milliseconds(timeMs)), timeMs);
+}
+
+std::string firstAt(const StepQueue &steps, std::int64_t timeMs) {
+  return steps.ordered(base::TimePoint(std::chrono::milliseconds(timeMs))).front()->key.job;
+}
+
+} // namespace
+
+TEST_GROUP(Overload){};
+
+/// A burst of less urgent work that has waited long must not delay fresh urgent work.
+TEST(Overload, UrgentWorkComesBeforeAnAgedBacklog) {
+  Table table;
+  StepQueue steps(table);
+  accept(table, steps, "backlog", queueOf(2, 1, 5000), 0);   // Must start at 5 s.
+  accept(table, steps, "urgent", queueOf(0, 1, 1000), 4500); // Must start at 5.5 s.
+  STRCMP_EQUAL("urgent", firstAt(steps, 4500).c_str());
+}
+
+/// Less urgent work gets its turn by its age, however much urgent work there is.
+TEST(Overload, LessUrgentWorkIsNotBehindForGood) {
+  Table table;
+  StepQueue steps(table);
+  accept(table, steps, "backlog", queueOf(2, 1, 5000), 0);    // Must start at 5 s.
+  accept(table, steps, "urgent", queueOf(0, 1, 20000), 4500); // Must start at 24.5 s.
+  STRCMP_EQUAL("backlog", firstAt(steps, 4500).c_str());
+}
+
+/// A burst of gangs: all ask for advice at once, instead of one group after the other.
+TEST(Overload, ManyGangsCollectAtTheSameTime) {
+  CellOptions options;
+  options.workers = 60;
+  options.advice = true;
+  options.advisers = 64;
+  FakeCell cell(options);
+  cell.run(2000);
+  constexpr int Gangs = 48;
+  for (int number = 0; number < Gangs; ++number) {
+    JobSpec spec = makeJob("gang-" + std::to_string(number), 4, 1500, 3000);
+    spec.steps[0].gang = true;
+    Queue queue = queueOf(1, 2, 1000);
+    queue.advice = AdvicePolicy{700, 1, 2500};
+    cell.submit(std::move(spec), queue);
+  }
+  // One advisory call, and what a start takes.
+  cell.run(1300);
+  for (int number = 0; number < Gangs; ++number)
+    CHECK(cell.jobTable().findJob("gang-" + std::to_string(number))->started);
+  CHECK(cell.findViolations().empty());
+}
