Clear the library's timeout of each idle connection

Cause: 12% of the leader's processor (perf on the running daemon) went to lws_dll2_add_sorted: libwebsockets sets a timeout after each answer and walks along the sorted list of the timeouts of all idle connections to insert it. Ruled out: our own timers (DeadlineQueue under 1%). Change: the server clears the library's timeout after each answer; its own timer already closes idle connections. The library's limit is 1 s, so that it is inserted near the front.

--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -34,6 +34,10 @@
 /// CallTable have timers of their own for callers and calls.
 constexpr unsigned LibraryTimeoutSeconds = 15;
 
+/// The library's own limit of an idle connection. Server clears it at once and has a timer of its
+/// own; a short one is cheap to insert into the library's sorted list.
+constexpr int LibraryKeepAliveSeconds = 1;
+
 /// Buffer of libwebsockets for one read and for the head of an outgoing request.
 constexpr unsigned ServiceBufferBytes = 64 * 1024;
 
@@ -204,7 +208,7 @@
     info.iface = listener.address.c_str();
     info.port = listener.port;
     info.protocols = this->protocols.data();
-    info.keepalive_timeout = roundUpToSeconds(this->options.keepAliveTimeout);
+    info.keepalive_timeout = LibraryKeepAliveSeconds;
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6 |
                    LWS_SERVER_OPTION_FALLBACK_TO_APPLY_LISTEN_ACCEPT_CONFIG;
     info.listen_accept_role = "raw-skt";
@@ -234,7 +238,7 @@
   info.iface = this->options.listenAddress.c_str();
   info.port = this->options.port;
   info.protocols = this->protocols.data();
-  info.keepalive_timeout = roundUpToSeconds(this->options.keepAliveTimeout);
+  info.keepalive_timeout = LibraryKeepAliveSeconds;
   // Input that is not HTTP is passed on as raw data, so that it gets an answer with a verdict.
   info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
                  LWS_SERVER_OPTION_FALLBACK_TO_APPLY_LISTEN_ACCEPT_CONFIG;
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -379,7 +379,12 @@
     connection.response.reset();
     connection.receiving = true;
     this->deadlines.set(connection.number, this->options.keepAliveTimeout);
-    return lws_http_transaction_completed(connection.wsi) != 0 ? -1 : 0;
+    lws *wsi = connection.wsi;
+    if (lws_http_transaction_completed(wsi) != 0)
+      return -1;
+    // The library keeps its timeouts in a sorted list, and walks along it at each request.
+    lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+    return 0;
   }
   if (connection.bodyKind != BodyKind::Discarded)
     return -1;
