Give no orders after a pause until a majority confirms the leader

Here a leader that was stopped for some seconds could handle answers, renew leases and start runs in the round of events before its next tick noticed the lost contact; after a suspension the steady clock shows no gap at all, so it went on until the check of its quorum. Fencing tokens stop it only at workers that the successor has reached. Ruled out: orders held by a relay; their leases are absolute times on the worker's clock.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -44,6 +44,7 @@
   LogTailRepaired = 2004,
   MembershipProposed = 2005,
   GroupFounded = 2006,
+  LeaderWasPaused = 2007,
   OwnerAssigned = 3001,
   WorkerAdopted = 3002,
   WorkerGrantExpired = 3003,
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 40> Catalogue = {{
+constexpr std::array<EventDefinition, 41> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -33,6 +33,8 @@
     {2004, Severity::Warning, "log_tail_repaired", "An incomplete record was cut off the log."},
     {2005, Severity::Info, "membership_proposed", "The leader changes the members of the group."},
     {2006, Severity::Info, "group_founded", "The first members of the group agreed on themselves."},
+    {2007, Severity::Warning, "leader_was_paused",
+     "The leader stood still; it gives no orders until a majority confirms it."},
     {3001, Severity::Info, "owner_assigned", "The leader named the owner of a worker."},
     {3002, Severity::Info, "worker_adopted", "This daemon is now the owner of a worker."},
     {3003, Severity::Warning, "worker_grant_expired", "A worker stopped polling its owner."},
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -191,6 +191,7 @@
 
 void Node::State::onBecameLeader() {
   ++this->metrics.leaderships;
+  this->pauseGuard = PauseGuard();
   jobs::DispatcherOptions dispatcherOptions;
   dispatcherOptions.term = this->group->term();
   dispatcherOptions.stopGrace = this->options.stopGrace;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -27,10 +27,6 @@
 /// Orders and answers within this interval are batched into one call to a relay.
 constexpr base::Duration RelayInterval = std::chrono::milliseconds(15);
 
-/// A smaller gap between the boot-time and monotonic clocks may come from scheduling delays; a gap
-/// of this size is a suspension.
-constexpr std::int64_t SuspensionMs = 200;
-
 std::uint64_t randomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -42,6 +38,9 @@
   return static_cast<std::int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
 }
 
+/// Time that the machine has been suspended, which the steady clock does not count.
+std::int64_t totalSuspensionMs() { return clockMs(CLOCK_BOOTTIME) - clockMs(CLOCK_MONOTONIC); }
+
 std::string textOf(const http::Listener &listener) {
   return listener.address + ':' + std::to_string(listener.port);
 }
@@ -52,7 +51,7 @@
 
 Node::State::State(NodeOptions nodeOptions, ProtocolAdapter protocolAdapter)
     : options(std::move(nodeOptions)), adapter(std::move(protocolAdapter)), random(randomSeed()),
-      now(base::steadyNow()), suspendedMs(clockMs(CLOCK_BOOTTIME) - clockMs(CLOCK_MONOTONIC)) {}
+      now(base::steadyNow()), suspendedMs(totalSuspensionMs()) {}
 
 base::Status Node::State::start() {
   membership::PeerDirectoryOptions directoryOptions;
@@ -184,7 +183,7 @@
   const std::int64_t wallClock = wallClockMs();
   if (this->group) {
     this->group->work(this->now, wallClock);
-    if (this->dispatcher) {
+    if (this->dispatcher && this->mayGiveOrders()) {
       std::vector<jobs::Action> actions = this->dispatcher->takeActions(this->now, wallClock);
       for (jobs::Action &action : actions)
         this->execute(std::move(action));
@@ -210,9 +209,27 @@
   this->loop->wakeAt(std::min(this->nextWake, this->nextRelay));
 }
 
+bool Node::State::mayGiveOrders() {
+  if (this->pauseGuard.mayGiveOrders(this->now, totalSuspensionMs()))
+    return true;
+  if (std::exchange(this->confirmingLeadership, true))
+    return false;
+  base::logEvent(base::Event::LeaderWasPaused, {{"term", std::to_string(this->group->term())}});
+  this->group->confirmLeadership(
+      [this, pause = this->pauseGuard.pauseCount()](bool confirmed) {
+        this->confirmingLeadership = false;
+        if (!confirmed)
+          return; // Asked again with the next tick, if this node still leads then.
+        this->pauseGuard.onLeadershipConfirmed(pause);
+        this->scheduleWork();
+      },
+      this->now);
+  return false;
+}
+
 void Node::State::detectSuspension() {
-  const std::int64_t slept = clockMs(CLOCK_BOOTTIME) - clockMs(CLOCK_MONOTONIC);
-  if (slept - this->suspendedMs >= SuspensionMs) {
+  const std::int64_t slept = totalSuspensionMs();
+  if (slept - this->suspendedMs >= PauseGuard::MinSuspensionMs) {
     base::logEvent(base::Event::MachineWasSuspended,
                    {{"ms", std::to_string(slept - this->suspendedMs)}});
     this->lastLeaderContact.reset();
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -4,6 +4,7 @@
 
 #include "Group.h"
 #include "MembershipPlanner.h"
+#include "PauseGuard.h"
 #include "banyanrill/base/LatencyHistogram.h"
 #include "banyanrill/jobs/Dispatcher.h"
 #include "banyanrill/membership/PeerDirectory.h"
@@ -105,6 +106,8 @@
   base::TimePoint nextMembershipCheck = base::TimePoint::min();
   std::optional<membership::KnownLeader> loggedLeader; ///< The leader in the last log line.
   std::int64_t suspendedMs = 0; ///< Total time that the machine has been suspended.
+  PauseGuard pauseGuard;
+  bool confirmingLeadership = false;
   NodeMetrics metrics;
 
   base::Status start();
@@ -116,6 +119,8 @@
   void onWake();
   void relay();
   void detectSuspension();
+  /// Returns whether the leader may give orders. After a pause it asks the group first.
+  bool mayGiveOrders();
   void logLeader();
   static std::int64_t wallClockMs();
 
