Name the dispatcher's parts by usual terms, and share the stable hash

Ruled out: changes of behaviour; names only, and one function moved. Change: AdviceTracker, GangReservations, SlotForecast, extendLease, targetDurationMs, answeredAt, freeResources, availableTo, recordEnd and others; base/Hash.h. Conclusion: the other packages keep their names for now.

--- a/packages/jobs/src/AdviceDesk.cpp
+++ b/packages/jobs/src/AdviceTracker.cpp
@@ -1,4 +1,4 @@
-#include "AdviceDesk.h"
+#include "AdviceTracker.h"
 
 namespace banyanrill::jobs {
 
@@ -12,7 +12,7 @@
 
 } // namespace
 
-void AdviceDesk::setAdvisoryDaemons(const std::vector<base::DaemonId> &daemons) {
+void AdviceTracker::setAdvisoryDaemons(const std::vector<base::DaemonId> &daemons) {
   const std::set<base::DaemonId> next(daemons.begin(), daemons.end());
   for (const base::DaemonId daemon : next) {
     if (this->advisers.count(daemon) == 0)
@@ -25,13 +25,13 @@
   this->advisers = next;
 }
 
-const StepAdvice *AdviceDesk::find(const StepKey &step) const {
+const StepAdvice *AdviceTracker::find(const StepKey &step) const {
   const auto known = this->steps.find(step);
   return known == this->steps.end() ? nullptr : &known->second;
 }
 
-const Ticket *AdviceDesk::ticketFor(const StepKey &step, WorkerNumber worker,
-                                    base::TimePoint now) const {
+const Ticket *AdviceTracker::ticketFor(const StepKey &step, WorkerNumber worker,
+                                       base::TimePoint now) const {
   const StepAdvice *advice = this->find(step);
   if (advice == nullptr)
     return nullptr;
@@ -39,8 +39,8 @@
   return found != advice->tickets.end() && found->second.until > now ? &found->second : nullptr;
 }
 
-AdviceOrder AdviceDesk::ask(OrderId id, const OpenStep &step, std::vector<std::string> workers,
-                            base::TimePoint now) {
+AdviceOrder AdviceTracker::ask(OrderId id, const OpenStep &step, std::vector<std::string> workers,
+                               base::TimePoint now) {
   const AdvicePolicy &policy = *step.job->queue.advice;
   AdviceOrder order;
   order.id = id;
@@ -56,7 +56,7 @@
   return order;
 }
 
-std::optional<StepKey> AdviceDesk::onAnswer(
+std::optional<StepKey> AdviceTracker::onAnswer(
     OrderId id, const AdviceAnswer &answer,
     const std::function<std::optional<WorkerNumber>(const std::string &)> &numberOf,
     base::TimePoint now) {
@@ -92,14 +92,14 @@
   return call.step;
 }
 
-void AdviceDesk::forgetWorker(WorkerNumber worker) {
+void AdviceTracker::forgetWorker(WorkerNumber worker) {
   for (auto &[step, advice] : this->steps) {
     advice.tickets.erase(worker);
     advice.bad.erase(worker);
   }
 }
 
-void AdviceDesk::forgetJob(const std::string &job) {
+void AdviceTracker::forgetJob(const std::string &job) {
   this->steps.erase(this->steps.lower_bound({job, 0, 0}),
                     this->steps.upper_bound({job, UINT32_MAX, UINT32_MAX}));
 }
--- a/packages/jobs/src/AdviceDesk.h
+++ b/packages/jobs/src/AdviceTracker.h
@@ -36,7 +36,7 @@
 
 /// Each daemon has one call at a time: the service serves the calls of a machine in turn, so a
 /// second one would only wait. Not thread-safe.
-class AdviceDesk {
+class AdviceTracker {
 public:
   void setAdvisoryDaemons(const std::vector<base::DaemonId> &daemons);
 
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -64,7 +64,7 @@
   }
   this->repeatingJobs.erase(id);
   this->begun.erase(id);
-  this->desk.forgetJob(id);
+  this->adviceTracker.forgetJob(id);
   this->abandonedGangs.erase(this->abandonedGangs.lower_bound({id, 0, 0}),
                              this->abandonedGangs.upper_bound({id, UINT32_MAX, UINT32_MAX}));
   if (job != nullptr)
@@ -149,7 +149,7 @@
   if (isNew || session.incarnation != worker->profile.incarnation) {
     const WorkerNumber number = isNew ? this->takeNumber(session) : session.number;
     if (!isNew)
-      this->desk.forgetWorker(number);
+      this->adviceTracker.forgetWorker(number);
     session = WorkerSession();
     session.number = number;
     session.proposed = this->proposedOn(id);
@@ -162,7 +162,7 @@
         leaseEnd(this->now + FormerLeaderTime, this->options.lease, this->options.stopGrace);
   }
   session.worker = worker;
-  session.roomStale = true;
+  session.resourcesStale = true;
   this->dirtyWorkers.insert(id);
 }
 
@@ -172,7 +172,7 @@
     return;
   for (const auto &[task, run] : found->second.runs)
     this->examineGang(task);
-  this->desk.forgetWorker(found->second.number);
+  this->adviceTracker.forgetWorker(found->second.number);
   this->speeds.forgetWorker(id);
   this->byNumber[found->second.number] = nullptr;
   this->freeNumbers.push_back(found->second.number);
@@ -235,7 +235,7 @@
       session->second.endsProposed = false;
       session->second.nextRenewal = std::max(session->second.nextRenewal, now);
       for (const TaskEnd &end : ends->ends) {
-        session->second.noteEnd(end, now);
+        session->second.recordEnd(end, now);
         dispatcher.recordDuration(session->second, end);
         dispatcher.markBegun(end.run.task.job);
         session->second.runs.erase(end.run.task);
@@ -270,7 +270,7 @@
       dispatcher.dropPending(placed.run.task);
       if (const auto session = dispatcher.sessions.find(placed.worker);
           session != dispatcher.sessions.end())
-        session->second.roomStale = true;
+        session->second.resourcesStale = true;
     }
   }
   for (const std::string &job : effect.changedJobs)
@@ -311,7 +311,7 @@
 }
 
 void Dispatcher::setAdvisoryDaemons(const std::vector<base::DaemonId> &daemons) {
-  this->state->desk.setAdvisoryDaemons(daemons);
+  this->state->adviceTracker.setAdvisoryDaemons(daemons);
   this->state->planNeeded = true;
 }
 
@@ -320,7 +320,7 @@
   if (!answer.answered)
     ++this->state->counters.adviceFailures;
   const auto numberOf = [this](const std::string &worker) { return this->state->numberOf(worker); };
-  if (this->state->desk.onAnswer(order, answer, numberOf, now))
+  if (this->state->adviceTracker.onAnswer(order, answer, numberOf, now))
     this->state->planNeeded = true;
 }
 
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -2,7 +2,7 @@
 // (Placing.cpp).
 #pragma once
 
-#include "AdviceDesk.h"
+#include "AdviceTracker.h"
 #include "SpeedTable.h"
 #include "StepQueue.h"
 #include "WorkerSession.h"
@@ -27,7 +27,7 @@
 };
 
 /// Number of gang members that a worker is expected to have room for from `at` on.
-struct Opening {
+struct SlotForecast {
   base::TimePoint at;
   WorkerSession *session = nullptr;
   std::uint32_t slots = 0;
@@ -52,7 +52,7 @@
   std::set<std::string> dirtyWorkers;
   base::TimePoint nextSweep = base::TimePoint::min();
   StepQueue queue;
-  AdviceDesk desk;
+  AdviceTracker adviceTracker;
   SpeedTable speeds;
   std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
@@ -103,8 +103,8 @@
   std::optional<OrderSubject> takeOrder(OrderId id);
   /// Handles what all answers to starts and stops have in common. Returns as `find`; nulls
   /// without a subject.
-  std::pair<const Worker *, WorkerSession *> noteAnswer(const std::optional<OrderSubject> &subject,
-                                                        const OrderAnswer &answer);
+  std::pair<const Worker *, WorkerSession *>
+  recordAnswer(const std::optional<OrderSubject> &subject, const OrderAnswer &answer);
   void reconcileRuns(const Worker &worker, WorkerSession &session, const RenewLeaseAnswer &answer);
 
   // Placement.
@@ -130,18 +130,18 @@
   void considerAdvice(const OpenStep &open, std::uint32_t needed);
   void ask(const OpenStep &open, std::vector<std::string> workers);
 
-  // Reservations for gangs (Collecting.cpp).
+  // Reservations for gangs (GangReservations.cpp).
   /// Begins a round in which gangs are placed or get reservations, if it is time for one.
   bool beginGangRound();
   void reserveForGang(const OpenStep &open);
-  std::vector<Opening> openingsFor(const OpenStep &open);
-  void renewGangTickets(const OpenStep &open, const std::vector<Opening> &chosen,
+  std::vector<SlotForecast> forecastSlots(const OpenStep &open);
+  void renewGangTickets(const OpenStep &open, const std::vector<SlotForecast> &chosen,
                         base::TimePoint start);
   void discoverWorkers(const OpenStep &open);
-  base::Resources roomFor(const OpenStep &open, WorkerSession &session);
+  base::Resources availableTo(const OpenStep &open, WorkerSession &session);
   bool isEligible(const OpenStep &open, const WorkerSession &session) const;
   std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
-  base::Resources freeRoom(WorkerSession &session);
+  base::Resources freeResources(WorkerSession &session);
   const RunFootprint *footprintOf(const WorkerSession &session, const TaskKey &task,
                                   RunStatus &run) const;
   base::TimePoint expectedEnd(const RunStatus &run) const;
--- a/packages/jobs/src/Collecting.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint32_t SpareMemberShare = 5;
 
 /// A gang that would wait longer than this for its permitted workers asks for advice on others.
-constexpr base::Duration GangPatience = std::chrono::milliseconds(1500);
+constexpr base::Duration DiscoveryThreshold = std::chrono::milliseconds(1500);
 
 /// Expected end times are estimates, so tickets are renewed this much earlier than needed.
 constexpr base::Duration RenewalLead = std::chrono::milliseconds(300);
@@ -48,8 +48,8 @@
 
 } // namespace
 
-base::Resources Dispatcher::State::roomFor(const OpenStep &open, WorkerSession &session) {
-  const base::Resources room = this->freeRoom(session);
+base::Resources Dispatcher::State::availableTo(const OpenStep &open, WorkerSession &session) {
+  const base::Resources room = this->freeResources(session);
   if (!session.reservation || open.job->queue.priority < session.reservation->priority)
     return room;
   const GangReservation &reservation = *session.reservation;
@@ -68,25 +68,25 @@
   return smaller(room, later);
 }
 
-std::vector<Opening> Dispatcher::State::openingsFor(const OpenStep &open) {
-  std::vector<Opening> openings;
+std::vector<SlotForecast> Dispatcher::State::forecastSlots(const OpenStep &open) {
+  std::vector<SlotForecast> forecasts;
   const base::Resources demand = demandOf(*open.step);
   const std::uint32_t most = open.step->maxPerWorker > 0 ? open.step->maxPerWorker : UINT32_MAX;
   const auto add = [&](WorkerSession &session) {
     if (!this->isEligible(open, session) || session.failureShare(this->now) > MaxFailureShare)
       return;
-    base::Resources room = this->freeRoom(session);
+    base::Resources room = this->freeResources(session);
     if (session.reservation)
       room = room - session.reservation->amount;
     std::uint32_t slots = std::min(slotsFor(room, demand), most);
     if (slots > 0)
-      openings.push_back({this->now, &session, slots});
+      forecasts.push_back({this->now, &session, slots});
     for (const ExpectedEnd &ending : session.endings) {
       room = room + ending.demand;
       const std::uint32_t then = std::min(slotsFor(room, demand), most);
       if (then <= slots)
         continue;
-      openings.push_back({std::max(ending.at, this->now), &session, then - slots});
+      forecasts.push_back({std::max(ending.at, this->now), &session, then - slots});
       slots = then;
     }
   };
@@ -94,12 +94,12 @@
     for (auto &[id, session] : this->sessions)
       add(session);
   } else {
-    for (const auto &[number, ticket] : this->desk.of(open.key).tickets)
+    for (const auto &[number, ticket] : this->adviceTracker.of(open.key).tickets)
       add(*this->byNumber[number]);
   }
-  std::sort(openings.begin(), openings.end(),
-            [](const Opening &left, const Opening &right) { return left.at < right.at; });
-  return openings;
+  std::sort(forecasts.begin(), forecasts.end(),
+            [](const SlotForecast &left, const SlotForecast &right) { return left.at < right.at; });
+  return forecasts;
 }
 
 bool Dispatcher::State::beginGangRound() {
@@ -112,54 +112,56 @@
 }
 
 void Dispatcher::State::reserveForGang(const OpenStep &open) {
-  std::vector<Opening> openings = this->openingsFor(open);
+  std::vector<SlotForecast> forecasts = this->forecastSlots(open);
   const std::uint32_t members = open.step->count;
   const std::uint32_t wanted = members + members / SpareMemberShare;
   std::uint32_t reserved = 0;
   std::size_t used = 0;
   base::TimePoint start;
-  while (used < openings.size() && reserved < wanted &&
-         openings[used].at <= this->now + ReservationHorizon) {
-    openings[used].slots = std::min(openings[used].slots, wanted - reserved);
+  while (used < forecasts.size() && reserved < wanted &&
+         forecasts[used].at <= this->now + ReservationHorizon) {
+    forecasts[used].slots = std::min(forecasts[used].slots, wanted - reserved);
     if (reserved < members)
-      start = openings[used].at;
-    reserved += openings[used].slots;
+      start = forecasts[used].at;
+    reserved += forecasts[used].slots;
     ++used;
   }
   if (reserved < members) {
     this->discoverWorkers(open);
     return;
   }
-  openings.resize(used);
+  forecasts.resize(used);
   const base::Resources demand = demandOf(*open.step);
-  for (const Opening &opening : openings) {
-    std::optional<GangReservation> &reservation = opening.session->reservation;
+  for (const SlotForecast &forecast : forecasts) {
+    std::optional<GangReservation> &reservation = forecast.session->reservation;
     if (!reservation)
       reservation = GangReservation{{}, start, open.job->queue.priority};
-    reservation->amount = reservation->amount + demand * opening.slots;
+    reservation->amount = reservation->amount + demand * forecast.slots;
     reservation->from = std::min(reservation->from, start);
     reservation->priority = std::max(reservation->priority, open.job->queue.priority);
   }
   if (!open.job->queue.advice)
     return;
-  if (start > this->now + GangPatience)
+  if (start > this->now + DiscoveryThreshold)
     this->discoverWorkers(open);
-  this->renewGangTickets(open, openings, start);
+  this->renewGangTickets(open, forecasts, start);
 }
 
-void Dispatcher::State::renewGangTickets(const OpenStep &open, const std::vector<Opening> &chosen,
+void Dispatcher::State::renewGangTickets(const OpenStep &open,
+                                         const std::vector<SlotForecast> &chosen,
                                          base::TimePoint start) {
-  StepAdvice &advice = this->desk.of(open.key);
-  if (advice.asking || this->now < advice.askAgain || !this->desk.hasFreeAdviser())
+  StepAdvice &advice = this->adviceTracker.of(open.key);
+  if (advice.asking || this->now < advice.askAgain || !this->adviceTracker.hasFreeAdviser())
     return;
   std::vector<std::string> names;
   bool expired = false;
-  for (const Opening &opening : chosen) {
-    const std::string &id = opening.session->incarnation.id;
+  for (const SlotForecast &forecast : chosen) {
+    const std::string &id = forecast.session->incarnation.id;
     if (std::find(names.begin(), names.end(), id) != names.end())
       continue;
     names.push_back(id);
-    const Ticket *ticket = this->desk.ticketFor(open.key, opening.session->number, this->now);
+    const Ticket *ticket =
+        this->adviceTracker.ticketFor(open.key, forecast.session->number, this->now);
     expired = expired || ticket == nullptr || ticket->until < start;
   }
   if (!expired || names.size() > MaxNamed ||
@@ -180,9 +182,9 @@
 void Dispatcher::State::discoverWorkers(const OpenStep &open) {
   if (!open.job->queue.advice)
     return;
-  StepAdvice &advice = this->desk.of(open.key);
+  StepAdvice &advice = this->adviceTracker.of(open.key);
   if (advice.asking || this->now < std::max(advice.askAgain, advice.discoverAgain) ||
-      !this->desk.hasFreeAdviser())
+      !this->adviceTracker.hasFreeAdviser())
     return;
   advice.askAgain = this->now + AdviceRecheckInterval;
   struct Unknown {
@@ -197,7 +199,7 @@
         advice.tickets.count(session.number) != 0 || advice.bad.count(session.number) != 0 ||
         !this->isEligible(open, session))
       continue;
-    unknown.push_back({&id, slotsFor(this->freeRoom(session), demand), this->random.next()});
+    unknown.push_back({&id, slotsFor(this->freeResources(session), demand), this->random.next()});
   }
   if (unknown.empty()) {
     advice.discoverAgain = this->now + AllNamedRecheckInterval;
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -67,8 +67,8 @@
   return demand;
 }
 
-base::Resources Dispatcher::State::freeRoom(WorkerSession &session) {
-  if (session.roomStale) {
+base::Resources Dispatcher::State::freeResources(WorkerSession &session) {
+  if (session.resourcesStale) {
     session.used = {};
     session.bestEffortRuns = 0;
     session.latencySensitiveRuns = 0;
@@ -88,7 +88,7 @@
     }
     std::sort(session.endings.begin(), session.endings.end(),
               [](const ExpectedEnd &left, const ExpectedEnd &right) { return left.at < right.at; });
-    session.roomStale = false;
+    session.resourcesStale = false;
   }
   return session.worker->profile.capacity - session.used - session.proposed;
 }
@@ -178,7 +178,7 @@
 void Dispatcher::State::forEachWithRoom(const base::Resources &demand, Function function) {
   if (this->byFreeProcessors.empty()) {
     for (auto &[id, session] : this->sessions)
-      this->byFreeProcessors.emplace_back(this->freeRoom(session).millicores, &session);
+      this->byFreeProcessors.emplace_back(this->freeResources(session).millicores, &session);
     std::sort(this->byFreeProcessors.begin(), this->byFreeProcessors.end(),
               [](const auto &left, const auto &right) {
                 return left.first != right.first ? left.first > right.first
@@ -195,7 +195,7 @@
   std::vector<WorkerSession *> candidates;
   const base::Resources demand = demandOf(*open.step);
   const auto consider = [&](WorkerSession &session) {
-    if (this->isEligible(open, session) && demand.fitsIn(this->roomFor(open, session)))
+    if (this->isEligible(open, session) && demand.fitsIn(this->availableTo(open, session)))
       candidates.push_back(&session);
   };
   if (!open.job->queue.advice) {
@@ -205,7 +205,7 @@
     });
     return candidates;
   }
-  const StepAdvice *advice = this->desk.find(open.key);
+  const StepAdvice *advice = this->adviceTracker.find(open.key);
   if (advice == nullptr)
     return candidates;
   for (const auto &[number, ticket] : advice->tickets) {
@@ -218,7 +218,7 @@
 std::optional<double> Dispatcher::State::scoreOf(const OpenStep &open, const Task &task,
                                                  WorkerSession &session) {
   const base::Resources demand = demandOf(*open.step);
-  const base::Resources room = this->roomFor(open, session);
+  const base::Resources room = this->availableTo(open, session);
   if (!demand.fitsIn(room))
     return std::nullopt;
   const WorkerProfile &profile = session.worker->profile;
@@ -290,7 +290,7 @@
   PendingRun &pendingRun = this->pending[open.key][index];
   pendingRun.worker = id;
   pendingRun.run = run;
-  if (const Ticket *ticket = this->desk.ticketFor(open.key, session.number, this->now)) {
+  if (const Ticket *ticket = this->adviceTracker.ticketFor(open.key, session.number, this->now)) {
     pendingRun.ticket = ticket->value;
     pendingRun.ticketUntil = ticket->until;
   }
@@ -346,21 +346,21 @@
   // Not all members fit: undo the assignments of the others.
   while (command.runs.size() > before) {
     const PlacedRun &placed = command.runs.back();
-    this->sessions.at(placed.worker).roomStale = true;
+    this->sessions.at(placed.worker).resourcesStale = true;
     this->dropPending(placed.run.task);
     command.runs.pop_back();
   }
 }
 
 std::uint32_t Dispatcher::State::slotsIn(const OpenStep &open, WorkerSession &session) {
-  std::uint32_t slots = slotsFor(this->roomFor(open, session), demandOf(*open.step));
+  std::uint32_t slots = slotsFor(this->availableTo(open, session), demandOf(*open.step));
   if (open.step->maxPerWorker > 0)
     slots = std::min(slots, open.step->maxPerWorker);
   return slots;
 }
 
 void Dispatcher::State::considerAdvice(const OpenStep &open, std::uint32_t needed) {
-  StepAdvice &advice = this->desk.of(open.key);
+  StepAdvice &advice = this->adviceTracker.of(open.key);
   if (needed == 0 || advice.asking || this->now < advice.askAgain)
     return;
   advice.askAgain = this->now + AdviceRecheckInterval;
@@ -373,7 +373,7 @@
   std::vector<Candidate> candidates;
   const base::Resources demand = demandOf(*open.step);
   this->forEachWithRoom(demand, [&](WorkerSession &session) {
-    if (!demand.fitsIn(this->roomFor(open, session)) || !this->isEligible(open, session) ||
+    if (!demand.fitsIn(this->availableTo(open, session)) || !this->isEligible(open, session) ||
         advice.bad.count(session.number) != 0)
       return true;
     const std::uint32_t slots = std::min(needed, this->slotsIn(open, session));
@@ -394,13 +394,13 @@
   candidates.resize(candidateCount);
   std::vector<std::string> workers;
   std::size_t named = 0;
-  std::size_t surely = 0;
+  std::size_t knownSlots = 0;
   for (const Candidate &candidate : candidates) {
-    if (surely >= needed || (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
+    if (knownSlots >= needed || (named >= AdviceSurplus * needed && workers.size() >= MinAdvised))
       break;
     workers.push_back(*candidate.worker);
     named += candidate.slots;
-    surely += candidate.known ? candidate.slots : 0;
+    knownSlots += candidate.known ? candidate.slots : 0;
   }
   this->ask(open, std::move(workers));
 }
@@ -408,7 +408,7 @@
 void Dispatcher::State::ask(const OpenStep &open, std::vector<std::string> workers) {
   ++this->counters.adviceCalls;
   this->actions.emplace_back(
-      this->desk.ask(++this->lastOrder, open, std::move(workers), this->now));
+      this->adviceTracker.ask(++this->lastOrder, open, std::move(workers), this->now));
 }
 
 void Dispatcher::State::planTasks(const OpenStep &open,
@@ -417,7 +417,7 @@
   const std::size_t placedBefore = command.runs.size();
   this->place(open, waitingTasks, command);
   const std::size_t placed = command.runs.size() - placedBefore;
-  if (open.job->queue.advice && this->desk.hasFreeAdviser())
+  if (open.job->queue.advice && this->adviceTracker.hasFreeAdviser())
     this->considerAdvice(open, static_cast<std::uint32_t>(waitingTasks.size() - placed));
 }
 
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -25,7 +25,7 @@
 
 base::Duration milliseconds(std::int64_t count) { return std::chrono::milliseconds(count); }
 
-std::int64_t aimOf(const Job &job) {
+std::int64_t targetDurationMs(const Job &job) {
   return static_cast<std::int64_t>(job.queue.stretch *
                                    static_cast<double>(criticalPathMs(job.spec))) +
          job.queue.latencyMs;
@@ -103,7 +103,7 @@
     due +=
         milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
   open.due = due;
-  const std::int64_t aim = aimOf(job);
+  const std::int64_t aim = targetDurationMs(job);
   const base::Duration chain = milliseconds(criticalPathFrom(job.spec, key.step));
   open.latestStart = due + milliseconds(aim) - chain;
   open.latestUsefulStart = due + milliseconds(aim * NoValueFactor) - chain;
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -26,7 +26,7 @@
 
 /// A gang is abandoned if a member has not started within gangTimeout divided by this, so that the
 /// stop orders reach the other members before they time out.
-constexpr int GangPatience = 3;
+constexpr int GangTimeoutDivisor = 3;
 
 /// Maximum number of ends in one answer; a full list may be incomplete.
 constexpr std::size_t FullEndList = 500;
@@ -99,7 +99,8 @@
   // A worker that does not answer is only polled: each lease that it may have received would delay
   // the time from which nothing runs there.
   if (!session.renewalUnanswered)
-    order.leaseUntilMs = session.grant(this->options.lease, this->options.stopGrace, this->now);
+    order.leaseUntilMs =
+        session.extendLease(this->options.lease, this->options.stopGrace, this->now);
   if (session.hasAnswered && !session.renewalUnanswered)
     order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(RenewalWait).count();
   this->orders.emplace(order.id, OrderSubject{session.incarnation, {}});
@@ -112,7 +113,7 @@
 void Dispatcher::State::sendStart(const Worker &worker, WorkerSession &session, const RunKey &run,
                                   RunStatus &view) {
   const std::optional<std::int64_t> lease =
-      session.grant(this->options.lease, this->options.stopGrace, this->now);
+      session.extendLease(this->options.lease, this->options.stopGrace, this->now);
   const Job *job = this->table.findJob(run.task.job);
   if (!lease || job == nullptr)
     return;
@@ -129,7 +130,7 @@
                          .checkpoint;
   view.startInFlight = true;
   ++view.startsSent;
-  session.noteCall(this->now);
+  session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.starts;
   this->orders.emplace(order.id, OrderSubject{session.incarnation, run});
@@ -141,7 +142,7 @@
   order.id = ++this->lastOrder;
   order.target = this->targetOf(worker);
   order.run = run;
-  session.noteCall(this->now);
+  session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.stops;
   this->orders.emplace(order.id, OrderSubject{session.incarnation, run});
@@ -175,8 +176,8 @@
   const Job *job = this->table.findJob(run.task.job);
   if (job == nullptr || !job->spec.steps[run.task.step].gang || view.inherited)
     return;
-  const bool lateStart =
-      !view.startAnswered && this->now - view.placedAt > this->options.gangTimeout / GangPatience;
+  const bool lateStart = !view.startAnswered &&
+                         this->now - view.placedAt > this->options.gangTimeout / GangTimeoutDivisor;
   if (!lateStart && !view.stopWanted)
     return;
   // The members that started would wait for this one until they time out.
@@ -261,15 +262,15 @@
 }
 
 std::pair<const Worker *, WorkerSession *>
-Dispatcher::State::noteAnswer(const std::optional<OrderSubject> &subject,
-                              const OrderAnswer &answer) {
+Dispatcher::State::recordAnswer(const std::optional<OrderSubject> &subject,
+                                const OrderAnswer &answer) {
   if (!subject)
     return {nullptr, nullptr};
   const auto found = this->find(subject->worker);
   if (WorkerSession *session = found.second; session != nullptr) {
     --session->callsInFlight;
     if (answer.outcome != OrderOutcome::NoAnswer && answer.outcome != OrderOutcome::NotSent)
-      session->noteAnswered(this->now);
+      session->recordAnswered(this->now);
     session->readClock(answer.clockMs, this->now);
     this->dirtyWorkers.insert(session->incarnation.id);
   }
@@ -280,7 +281,7 @@
   State &dispatcher = *this->state;
   dispatcher.now = now;
   const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
-  const auto [worker, session] = dispatcher.noteAnswer(subject, answer);
+  const auto [worker, session] = dispatcher.recordAnswer(subject, answer);
   if (session == nullptr)
     return;
   RunStatus *found = findStatus(*worker, *session, subject->run);
@@ -295,7 +296,7 @@
     [[fallthrough]];
   case OrderOutcome::OldRun:
     view.startAnswered = true;
-    view.settledAt = now;
+    view.answeredAt = now;
     dispatcher.markBegun(subject->run.task.job);
     return;
   case OrderOutcome::NotSent:
@@ -332,7 +333,7 @@
   State &dispatcher = *this->state;
   dispatcher.now = now;
   const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
-  const auto [worker, session] = dispatcher.noteAnswer(subject, answer);
+  const auto [worker, session] = dispatcher.recordAnswer(subject, answer);
   if (session == nullptr)
     return;
   if (answer.outcome == OrderOutcome::OtherIncarnation) {
@@ -346,7 +347,7 @@
   view.stopInFlight = false;
   if (answer.outcome == OrderOutcome::Accepted) {
     view.stopAnswered = true;
-    view.settledAt = now;
+    view.answeredAt = now;
     session->nextRenewal = std::min(session->nextRenewal, now);
   } else {
     view.nextTry = now + RetryPause;
@@ -371,7 +372,7 @@
       const RunningTask &seen = *found->second;
       if (!view.startAnswered) {
         view.startAnswered = true;
-        view.settledAt = this->now;
+        view.answeredAt = this->now;
         this->markBegun(task.job);
       }
       if (seen.percent != view.percent)
@@ -388,7 +389,7 @@
     // The worker has seen this leader's fencing token, so it rejects orders of earlier leaders.
     const bool barred = placement.term < this->options.term && !placement.previousIncarnation;
     const bool settled =
-        (view.startAnswered || view.stopAnswered) && session.renewalSentAt > view.settledAt;
+        (view.startAnswered || view.stopAnswered) && session.renewalSentAt > view.answeredAt;
     if (barred || settled)
       this->release(session, run, view);
   }
@@ -436,7 +437,7 @@
   session->nextRenewal = session->renewalUnanswered ? now : now + RenewalPause;
   session->renewalUnanswered = false;
   session->hasAnswered = true;
-  session->noteAnswered(now);
+  session->recordAnswered(now);
   session->lastAnswer = now;
   session->readClock(answer.clockMs, now);
   dispatcher.reconcileRuns(*worker, *session, answer);
--- a/packages/jobs/src/WorkerSession.cpp
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -52,8 +52,8 @@
     this->clock = ClockReading{*clockMs, now};
 }
 
-std::optional<std::int64_t> WorkerSession::grant(base::Duration lease, base::Duration stopGrace,
-                                                 base::TimePoint now) {
+std::optional<std::int64_t>
+WorkerSession::extendLease(base::Duration lease, base::Duration stopGrace, base::TimePoint now) {
   const std::optional<std::int64_t> clockNow = this->clockAt(now);
   if (!clockNow)
     return std::nullopt;
@@ -67,12 +67,12 @@
   return renewalIsDue || this->unsettledRuns > 0 || this->renewalUnanswered || !this->hasAnswered;
 }
 
-void WorkerSession::noteCall(base::TimePoint now) {
+void WorkerSession::recordCall(base::TimePoint now) {
   if (!this->unansweredSince)
     this->unansweredSince = now;
 }
 
-void WorkerSession::noteAnswered(base::TimePoint now) {
+void WorkerSession::recordAnswered(base::TimePoint now) {
   this->unansweredSince.reset();
   if (this->callsInFlight > 0)
     this->unansweredSince = now;
@@ -89,7 +89,7 @@
   return this->health.failureShare * std::exp2(-age / FailureHalfLife);
 }
 
-void WorkerSession::noteEnd(const TaskEnd &end, base::TimePoint now) {
+void WorkerSession::recordEnd(const TaskEnd &end, base::TimePoint now) {
   if (end.kind != EndKind::Succeeded && end.kind != EndKind::Failed)
     return;
   const bool hasFailed = end.kind == EndKind::Failed;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -33,7 +33,7 @@
   bool stopInFlight = false;
   bool stopAnswered = false; ///< It cannot appear any more.
   bool releaseProposed = false;
-  base::TimePoint settledAt =
+  base::TimePoint answeredAt =
       base::TimePoint::max(); ///< A later look that misses it proves absence.
   base::TimePoint nextTry = base::TimePoint::min();
   base::TimePoint placedAt = base::TimePoint::min();
@@ -104,7 +104,7 @@
   double slowness = 0; ///< As in the speed table.
 
   // Room, kept current by the planner.
-  bool roomStale = true;
+  bool resourcesStale = true;
   base::Resources used;
   base::Resources proposed;                   ///< Of runs that are not in the table yet.
   std::uint32_t bestEffortRuns = 0;           ///< Runs that use what others leave.
@@ -118,17 +118,17 @@
   void readClock(std::optional<std::int64_t> clockMs, base::TimePoint now);
 
   /// A lease that begins now. \returns its end on the worker's clock.
-  std::optional<std::int64_t> grant(base::Duration lease, base::Duration stopGrace,
-                                    base::TimePoint now);
+  std::optional<std::int64_t> extendLease(base::Duration lease, base::Duration stopGrace,
+                                          base::TimePoint now);
 
   /// Successes clear a suspicion; failures of several jobs in a row raise one.
-  void noteEnd(const TaskEnd &end, base::TimePoint now);
+  void recordEnd(const TaskEnd &end, base::TimePoint now);
 
   /// Whether time alone may ask for an order to the worker, or for its removal.
   bool isDue(base::TimePoint now) const;
 
-  void noteCall(base::TimePoint now);
-  void noteAnswered(base::TimePoint now);
+  void recordCall(base::TimePoint now);
+  void recordAnswered(base::TimePoint now);
   /// Whether it leaves orders unanswered, long before their time limit.
   bool isSilent(base::TimePoint now) const;
 
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -1,5 +1,7 @@
 #include "FakeCell.h"
 
+#include "banyanrill/base/Hash.h"
+
 #include <algorithm>
 
 namespace banyanrill::jobs::test {
@@ -28,14 +30,6 @@
   return queue;
 }
 
-/// FNV-1a, so that all builds permit the same workers.
-std::uint64_t hashOf(const std::string &text) {
-  std::uint64_t hash = 14695981039346656037U;
-  for (const char character : text)
-    hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211U;
-  return hash;
-}
-
 } // namespace
 
 JobSpec makeJob(const std::string &id, std::uint32_t tasks, std::int64_t millicores,
@@ -230,9 +224,10 @@
 bool FakeCell::isPermitted(const StepKey &step, const std::string &worker) const {
   // The other workers have room for every gang in the tests.
   if (this->options.permittedShare >= 1)
-    return worker.compare(0, 2, "w" + std::to_string(hashOf(step.job) % this->workers.size())) != 0;
+    return worker.compare(
+               0, 2, "w" + std::to_string(base::stableHash(step.job) % this->workers.size())) != 0;
   const std::uint64_t drawn =
-      hashOf(step.job + '.' + std::to_string(step.step) + '.' + worker) % 1000;
+      base::stableHash(step.job + '.' + std::to_string(step.step) + '.' + worker) % 1000;
   return static_cast<double>(drawn) < this->options.permittedShare * 1000;
 }
 
--- a/packages/jobs/tests/CollectingTest.cpp
+++ b/packages/jobs/tests/GangReservationsTest.cpp
@@ -69,14 +69,14 @@
 
 } // namespace
 
-TEST_GROUP(Collecting){};
+TEST_GROUP(GangReservations){};
 
-TEST(Collecting, WideGangStartsInTimeBesideSmallTasks) { checkGangEnds(false); }
+TEST(GangReservations, WideGangStartsInTimeBesideSmallTasks) { checkGangEnds(false); }
 
-TEST(Collecting, WideGangStartsInTimeWithTickets) { checkGangEnds(true); }
+TEST(GangReservations, WideGangStartsInTimeWithTickets) { checkGangEnds(true); }
 
 /// Room reserved for a waiting gang stays available to tasks of higher priority.
-TEST(Collecting, UrgentTaskUsesReservedRoom) {
+TEST(GangReservations, UrgentTaskUsesReservedRoom) {
   CellOptions options;
   options.workers = 2;
   FakeCell cell(options);
@@ -91,7 +91,7 @@
 
 /// A task that ends before the gang can start does not delay it, so it may run in the reserved
 /// room.
-TEST(Collecting, ShortTaskRunsInRoomReservedForAGang) {
+TEST(GangReservations, ShortTaskRunsInRoomReservedForAGang) {
   CellOptions options;
   options.workers = 2;
   FakeCell cell(options);
@@ -103,7 +103,7 @@
 
 /// Urgent tasks were placed on the workers that a gang was about to use, which delayed the gang
 /// each time.
-TEST(Collecting, UrgentTaskPrefersUnreservedRoom) {
+TEST(GangReservations, UrgentTaskPrefersUnreservedRoom) {
   CellOptions options;
   options.workers = 3;
   FakeCell cell(options);
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -1,6 +1,7 @@
 // Executes the leader's orders: calls to workers, and to the advisory service through any node.
 #include "NodeState.h"
 #include "banyanrill/base/EventLog.h"
+#include "banyanrill/base/Hash.h"
 
 #include <array>
 
@@ -68,21 +69,6 @@
                     order);
 }
 
-/// FNV-1a, the same in every build.
-std::uint64_t hashOf(const std::string &text) {
-  std::uint64_t hash = 14695981039346656037U;
-  for (const char character : text)
-    hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211U;
-  return hash;
-}
-
-/// The finalizer of splitmix64: spreads values that differ in few bits.
-std::uint64_t mixed(std::uint64_t value) {
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-  return value ^ (value >> 31U);
-}
-
 } // namespace
 
 void Node::State::execute(jobs::Action action) {
@@ -130,11 +116,11 @@
   if (this->group->table().state().workers.size() <= MaxDirectWorkers || this->relays.empty())
     return base::NoDaemon;
   // Rendezvous hashing: when a relay comes or goes, only its own workers change theirs.
-  const std::uint64_t workerHash = hashOf(worker);
+  const std::uint64_t workerHash = base::stableHash(worker);
   base::DaemonId chosen = base::NoDaemon;
   std::uint64_t highest = 0;
   for (const auto &[id, queue] : this->relays) {
-    const std::uint64_t weight = mixed(workerHash ^ id);
+    const std::uint64_t weight = base::mixBits(workerHash ^ id);
     if (chosen != base::NoDaemon && weight <= highest)
       continue;
     chosen = id;
