--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -74,7 +74,7 @@
 }
 
 /// Wraps the handlers, since exceptions must not pass through the frames of libwebsockets.
-LoopHandlers guarded(LoopHandlers handlers) {
+LoopHandlers guarded(const LoopHandlers &handlers) {
   LoopHandlers result = handlers;
   if (handlers.onDisconnect)
     result.onDisconnect = [inner = handlers.onDisconnect](ExchangeId exchange) {
