Keep what is known of a newer run when an earlier run of the task ends

Looking for ways in which a placed run is never ordered: the record of an end erased the evidence about the task whatever its run. When a stray run is stopped (its late start was carried out after its task had been placed again on the same worker), its end erased that of the newer run, which then counted as inherited from an earlier leader: neither started nor released, for good. Change: the evidence stays if the task is still placed on the worker. Measured: StopAnswer.EndOfAnEarlierRunLeavesANewerRunToBeStarted fails before and passes now; test_jobs 41 of 41.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -238,7 +238,10 @@
         session->second.recordEnd(end, now);
         dispatcher.recordDuration(session->second, end);
         dispatcher.markBegun(end.run.task.job);
-        session->second.runs.erase(end.run.task);
+        // A placement that is still there belongs to a newer run of the task.
+        const Worker *worker = dispatcher.table.findWorker(ends->worker.id);
+        if (worker == nullptr || worker->placements.count(end.run.task) == 0)
+          session->second.runs.erase(end.run.task);
         if (end.kind != EndKind::Succeeded)
           dispatcher.examineGang(end.run.task);
       }
--- a/packages/jobs/tests/StopAnswerTest.cpp
+++ b/packages/jobs/tests/StopAnswerTest.cpp
@@ -100,3 +100,20 @@
   cell.step(10);
   CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.count(unknownRun.task));
 }
+
+/// The end of a stopped stray run erased what was known of a newer run of the task at the same
+/// worker, which then counted as started by an earlier leader and was never ordered.
+TEST(StopAnswer, EndOfAnEarlierRunLeavesANewerRunToBeStarted) {
+  ManualCell cell;
+  std::vector<Action> orders = cell.step(10);
+  const RenewLeaseOrder *hold = cell.find<RenewLeaseOrder>(orders);
+  CHECK(hold != nullptr);
+  const RunKey earlierRun{{"job", 0, 0, 0}, 1};
+  cell.apply({PlaceRuns{5, {{{earlierRun.task, 2}, "w"}}}});
+  cell.dispatcher->onRenewLeaseAnswer(hold->id, {OrderOutcome::Accepted, 1000, 7, {}, {}},
+                                      cell.now);
+  cell.apply({RecordEnds{{"w", 7}, {{1, earlierRun, EndKind::Stopped, ""}}}});
+  orders = cell.step(10);
+  const StartOrder *start = cell.find<StartOrder>(orders);
+  CHECK(start != nullptr && start->run.run == 2);
+}
