--- a/packages/jobs/src/GangReservations.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -114,7 +114,11 @@
 void Dispatcher::State::reserveForGang(const OpenStep &open) {
   std::vector<SlotForecast> forecasts = this->forecastSlots(open);
   const std::uint32_t members = open.step->count;
-  const std::uint32_t wanted = members + members / SpareMemberShare;
+  // Spare places must not make the tickets of a wide gang too many for one call.
+  const auto namedAtMost = static_cast<std::uint32_t>(MaxNamed);
+  const std::uint32_t spare =
+      std::min(members / SpareMemberShare, namedAtMost - std::min(members, namedAtMost));
+  const std::uint32_t wanted = members + spare;
   std::uint32_t reserved = 0;
   std::size_t used = 0;
   base::TimePoint start;
