Ask for advice about no worker that has its share of a step

The known workers counted as enough, so no other was ever named. Change: an advisory call counts what a worker may still take beside the step's tasks there.

--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -141,6 +141,9 @@
   base::Resources availableTo(const OpenStep &open, WorkerSession &session);
   bool isEligible(const OpenStep &open, const WorkerSession &session) const;
   std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
+  /// The same beside the tasks of the step that the workers have already.
+  std::uint32_t slotsBeside(const OpenStep &open, WorkerSession &session,
+                            const std::map<std::string, std::uint32_t> &perWorker);
   base::Resources freeResources(WorkerSession &session);
   const RunFootprint *footprintOf(const WorkerSession &session, const TaskKey &task,
                                   RunStatus &run) const;
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -359,6 +359,17 @@
   return slots;
 }
 
+std::uint32_t
+Dispatcher::State::slotsBeside(const OpenStep &open, WorkerSession &session,
+                               const std::map<std::string, std::uint32_t> &perWorker) {
+  const std::uint32_t slots = this->slotsIn(open, session);
+  const auto placed = perWorker.find(session.incarnation.id);
+  if (placed == perWorker.end())
+    return slots;
+  const std::uint32_t most = open.step->maxPerWorker;
+  return std::min(slots, most - std::min(most, placed->second));
+}
+
 void Dispatcher::State::considerAdvice(const OpenStep &open, std::uint32_t needed) {
   StepAdvice &advice = this->adviceTracker.of(open.key);
   if (needed == 0 || advice.asking || this->now < advice.askAgain)
@@ -372,11 +383,13 @@
   };
   std::vector<Candidate> candidates;
   const base::Resources demand = demandOf(*open.step);
+  const std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   this->forEachWithRoom(demand, [&](WorkerSession &session) {
-    if (!demand.fitsIn(this->availableTo(open, session)) || !this->isEligible(open, session) ||
-        advice.bad.count(session.number) != 0)
+    if (!this->isEligible(open, session) || advice.bad.count(session.number) != 0)
+      return true;
+    const std::uint32_t slots = std::min(needed, this->slotsBeside(open, session, perWorker));
+    if (slots == 0)
       return true;
-    const std::uint32_t slots = std::min(needed, this->slotsIn(open, session));
     candidates.push_back({&session.incarnation.id, slots, advice.tickets.count(session.number) != 0,
                           this->random.next()});
     return true;
--- a/packages/jobs/tests/OverloadTest.cpp
+++ b/packages/jobs/tests/OverloadTest.cpp
@@ -76,3 +76,21 @@
     CHECK(cell.jobTable().findJob("gang-" + std::to_string(number))->started);
   CHECK(cell.findViolations().empty());
 }
+
+/// A step that may run once on each worker was advised again and again about the workers that ran
+/// its other tasks, and the last tasks never started.
+TEST(Overload, AdviceNamesNoWorkerThatHasItsShareOfAStep) {
+  CellOptions options;
+  options.workers = 120;
+  options.advice = true;
+  options.permittedShare = 0.3;
+  FakeCell cell(options);
+  cell.run(2000);
+  constexpr std::uint32_t Tasks = 24;
+  JobSpec spec = makeJob("spread", Tasks, 1000, 20000);
+  spec.steps[0].maxPerWorker = 1;
+  cell.submit(std::move(spec));
+  cell.run(3000);
+  const StepProgress &step = cell.jobTable().findJob("spread")->occurrences.at(0).steps[0];
+  LONGS_EQUAL(Tasks, step.placements);
+}
