--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -31,12 +31,7 @@
     target_compile_definitions(test_${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
     # KNOWN-RED.txt names the excluded group.
     add_test(NAME ${name} COMMAND test_${name} -v -xg PeerTaskStop)
-    # Ends a test that hangs. The sanitizers slow some tests down more than twentyfold.
-    set(hang_limit_s 300)
-    if(BANYANRILL_SANITIZE)
-      set(hang_limit_s 1500)
-    endif()
-    set_tests_properties(${name} PROPERTIES TIMEOUT ${hang_limit_s}
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300
       ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=${BANYANRILL_PROPERTY_RUNS}")
   endif()
 endfunction()
