Drop an unused stop signal from the walk over workers with room

Ruled out: a change of behaviour; no caller stopped early. Change: the callback returns nothing. Conclusion: simpler, the same.

--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -116,7 +116,7 @@
   void placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
                  PlaceRuns &command);
   std::vector<std::uint32_t> waitingTasks(const OpenStep &open) const;
-  /// Calls `function` for each session that may have room for the demand, until it returns false.
+  /// Calls `function` for each session that may have room for the demand.
   template <typename Function>
   void forEachWithRoom(const base::Resources &demand, Function function);
   /// Returns the workers that may run the step and have room for at least one of its tasks.
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -186,8 +186,9 @@
               });
   }
   for (const auto &[millicores, session] : this->byFreeProcessors) {
-    if (millicores < demand.millicores || !function(*session))
+    if (millicores < demand.millicores)
       return;
+    function(*session);
   }
 }
 
@@ -199,10 +200,7 @@
       candidates.push_back(&session);
   };
   if (!open.job->queue.advice) {
-    this->forEachWithRoom(demand, [&consider](WorkerSession &session) {
-      consider(session);
-      return true;
-    });
+    this->forEachWithRoom(demand, consider);
     return candidates;
   }
   const StepAdvice *advice = this->adviceTracker.find(open.key);
@@ -386,13 +384,12 @@
   const std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   this->forEachWithRoom(demand, [&](WorkerSession &session) {
     if (!this->isEligible(open, session) || advice.bad.count(session.number) != 0)
-      return true;
+      return;
     const std::uint32_t slots = std::min(needed, this->slotsBeside(open, session, perWorker));
     if (slots == 0)
-      return true;
+      return;
     candidates.push_back({&session.incarnation.id, slots, advice.tickets.count(session.number) != 0,
                           this->random.next()});
-    return true;
   });
   if (candidates.empty())
     return;
