Add a review case: tasks of a leaving minion run twice

Cause: a leaving minion whose connection cannot be established in time is taken for one that has ended, and its tasks are placed again at once.

Done: a script in which a minion leaves as planned while nothing from the daemons reaches it.

--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -14,6 +14,7 @@
 };
 
 int runForeignReport(const CaseOptions &options, Record &record);
+int runLeavingMinion(const CaseOptions &options, Record &record);
 int runLeadershipRegained(const CaseOptions &options, Record &record);
 
 } // namespace review
--- a/review/standin/Http.cpp
+++ b/review/standin/Http.cpp
@@ -129,6 +129,8 @@
   this->stopping = true;
   this->acceptor.join();
   ::close(this->listener);
+  for (const int filler : this->fillers)
+    ::close(filler);
   {
     const std::lock_guard lock(this->mutex);
     for (const int connection : this->connections)
@@ -138,8 +140,27 @@
     sleepMs(1);
 }
 
+void Server::ignoreConnections() {
+  this->ignoring = true;
+  // With a full queue the system drops the opening packets.
+  ::listen(this->listener, 0);
+  sockaddr_in own = {};
+  socklen_t size = sizeof own;
+  ::getsockname(this->listener, reinterpret_cast<sockaddr *>(&own), &size);
+  constexpr int Fillers = 4;
+  for (int index = 0; index < Fillers; ++index) {
+    const int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    ::connect(filler, reinterpret_cast<const sockaddr *>(&own), sizeof own);
+    this->fillers.insert(filler);
+  }
+}
+
 void Server::accept() {
   while (!this->stopping) {
+    if (this->ignoring) {
+      sleepMs(50);
+      continue;
+    }
     if (!waitFor(this->listener, POLLIN, nowMs() + 100))
       continue;
     const int connection = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
@@ -233,6 +254,24 @@
   return result;
 }
 
+Channel::Channel(const std::string &serverAddress) : address(serverAddress) {
+  const std::size_t colon = this->address.rfind(':');
+  const sockaddr_in target = socketAddress(
+      this->address.substr(0, colon),
+      static_cast<std::uint16_t>(std::strtoul(&this->address[colon + 1], nullptr, 10)));
+  this->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (::connect(this->socket, reinterpret_cast<const sockaddr *>(&target), sizeof target) != 0)
+    throw std::runtime_error("cannot connect to " + this->address);
+}
+
+Channel::~Channel() { ::close(this->socket); }
+
+bool Channel::send(const std::string &method, const std::string &path) {
+  return sendAll(this->socket,
+                 method + ' ' + path + " HTTP/1.1\r\nhost: " + this->address + "\r\n\r\n",
+                 nowMs() + 1000);
+}
+
 std::uint16_t freePort(const std::set<std::string> &addresses) {
   constexpr int Lowest = 20000;
   constexpr int Count = 12000;
--- a/review/standin/Http.h
+++ b/review/standin/Http.h
@@ -36,6 +36,9 @@
 
   std::uint16_t port() const { return this->listenPort; }
 
+  /// From now on new connections get no answer at all, as from a machine that is cut off.
+  void ignoreConnections();
+
 private:
   void accept();
   void serve(int connection);
@@ -44,8 +47,10 @@
   int listener = -1;
   std::uint16_t listenPort = 0;
   std::atomic<bool> stopping = false;
+  std::atomic<bool> ignoring = false;
   std::mutex mutex;
   std::set<int> connections;
+  std::set<int> fillers; ///< Connections that keep the queue of the listener full.
   std::atomic<int> threads = 0;
   std::thread acceptor;
 };
@@ -65,6 +70,21 @@
 CallResult callAndFollow(const std::string &address, const std::string &method,
                          const std::string &path, const std::string &body, int timeoutMs);
 
+/// A connection that is opened first and carries one request later, without waiting for an answer.
+class Channel {
+public:
+  explicit Channel(const std::string &serverAddress);
+  ~Channel();
+  Channel(const Channel &) = delete;
+  Channel &operator=(const Channel &) = delete;
+
+  bool send(const std::string &method, const std::string &path);
+
+private:
+  std::string address;
+  int socket = -1;
+};
+
 /// Returns a port that is free on all the addresses.
 std::uint16_t freePort(const std::set<std::string> &addresses);
 
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -20,6 +20,7 @@
 };
 
 constexpr NamedCase Cases[] = {{"foreign-report", runForeignReport},
+                               {"leaving-minion", runLeavingMinion},
                                {"leadership-regained", runLeadershipRegained}};
 
 } // namespace
--- a/review/standin/Minion.cpp
+++ b/review/standin/Minion.cpp
@@ -84,13 +84,30 @@
   return this->options.address + ':' + std::to_string(this->server->port());
 }
 
-void Minion::setCut(bool isCut) {
+void Minion::drain() {
+  std::unique_lock lock(this->mutex);
+  this->draining = true;
+  this->changed.notify_all();
+  this->changed.wait(lock, [this] { return this->drainAcknowledged; });
+  this->record.line("draining acknowledged " + this->options.id);
+}
+
+void Minion::end() {
   const std::lock_guard lock(this->mutex);
-  this->cut = isCut;
-  this->record.line(std::string(isCut ? "cut " : "heal ") + this->options.id);
+  this->stopping = true;
+  for (const auto &[task, run] : this->running)
+    this->log.ended(task, run.run, this->options.id, "gone");
+  this->running.clear();
   this->changed.notify_all();
 }
 
+void Minion::cutOneWay() {
+  const std::lock_guard lock(this->mutex);
+  this->cut = true;
+  this->server->ignoreConnections();
+  this->record.line("cut off one way " + this->options.id);
+}
+
 std::size_t Minion::runningCount() {
   const std::lock_guard lock(this->mutex);
   return this->running.size();
@@ -104,7 +121,7 @@
       {"Zone", this->options.zone},
       {"Version", "v1"},
       {"Slots", 8},
-      {"State", "ready"},
+      {"State", this->draining ? "draining" : "ready"},
       {"ColdRemainingMs", 0},
       {"Capacity", {{"Cpu", this->options.cpu}, {"MemMb", this->options.memoryMb}, {"Gpus", 0}}},
       {"Labels", {"a", this->options.rack}},
@@ -258,16 +275,23 @@
                              [this] { return this->stopping; });
       if (this->stopping)
         return;
-      if (this->cut || nowMs() < next)
+      const bool isNews = this->draining && !this->drainAcknowledged;
+      if (this->cut || (nowMs() < next && !isNews))
         continue;
     }
-    const CallResult result = callAndFollow(target, "PUT", "/v1/instances/" + this->options.id,
-                                            this->report().dump(), AnswerMs);
+    const json sent = this->report();
+    const CallResult result =
+        callAndFollow(target, "PUT", "/v1/instances/" + this->options.id, sent.dump(), AnswerMs);
     if (result.status / 100 != 2) {
       target = this->options.control[randomBelow(this->options.control.size())];
       next = nowMs() + 100;
       continue;
     }
+    if (sent["State"] == "draining") {
+      const std::lock_guard lock(this->mutex);
+      this->drainAcknowledged = true;
+      this->changed.notify_all();
+    }
     const json body = json::parse(result.body, nullptr, false);
     if (body.is_object() && body.contains("HeartbeatAddress"))
       target = body["HeartbeatAddress"];
--- a/review/standin/Minion.h
+++ b/review/standin/Minion.h
@@ -70,8 +70,12 @@
   const std::string &id() const { return this->options.id; }
   nlohmann::json report();
   std::size_t runningCount();
-  /// While true, nothing reaches the minion and nothing leaves it.
-  void setCut(bool isCut);
+  /// Reports `draining` from now on, and returns when that is acknowledged.
+  void drain();
+  /// Ends with all that it runs.
+  void end();
+  /// From now on nothing reaches the minion. What it sends still arrives.
+  void cutOneWay();
 
 private:
   struct Running {
@@ -107,6 +111,8 @@
   std::condition_variable changed;
   bool stopping = false;
   bool cut = false;
+  bool draining = false;
+  bool drainAcknowledged = false;
   std::int64_t fence = 0;
   std::int64_t leaseUntilMs = 0; ///< On the minion's clock.
   std::int64_t lastEnd = 0;
