--- a/review/standin/Cell.cpp
+++ b/review/standin/Cell.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -56,6 +57,7 @@
   this->pid = fork();
   if (this->pid != 0)
     return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL); // No daemon outlives the case.
   const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
