Write again what may not be durable when a data folder is opened

What callers could see: after a disk error and a later loss of power, a vote or an entry that the replica had counted as stored is gone, so an acknowledged change may be lost or a vote given twice. Cause: a kernel marks pages as clean when their write-back fails, and the next sync succeeds without writing them. Recovery read the last record from the page cache, synced the file and took it for durable. Ruled out: records before the last one (each append waits for the sync of the one before it), and a crash between write and sync (the sync at the opening covers that). In place, since the record may be acknowledged and must not be missing for a moment.

--- a/packages/storage/include/banyanrill/storage/LogStore.h
+++ b/packages/storage/include/banyanrill/storage/LogStore.h
@@ -85,8 +85,13 @@
   static base::Result<FolderIdentity> create(const std::string &folder, std::uint32_t replica,
                                              const Environment &environment);
 
+  /// Reads whose folder it is, without a lock. Thread-safe. Errors: NotFound, DataCorrupted,
+  /// StorageFailure.
+  static base::Result<FolderIdentity> identityOf(const std::string &folder);
+
   /// Opens a folder and recovers its state. An incomplete record at the tail of the newest segment
-  /// is cut off; damage anywhere else is DataCorrupted with file, offset and what to do.
+  /// is cut off; damage anywhere else is DataCorrupted with file, offset and what to do. What was
+  /// written last is written again, so that all of the recovered state is durable.
   /// Takes an exclusive lock on the folder. Errors: NotFound, DataCorrupted, StorageFailure.
   static base::Result<LogStore> open(const std::string &folder, RecoveredState &recovered);
 
--- a/packages/storage/src/Files.cpp
+++ b/packages/storage/src/Files.cpp
@@ -101,6 +101,20 @@
   return std::monostate{};
 }
 
+base::Status overwriteFile(const FileOperations &files, const std::string &path, std::size_t offset,
+                           std::string_view data) {
+  const base::Result<Descriptor> file = openFile(path, O_WRONLY);
+  if (!file)
+    return file.error();
+  if (::lseek(file.value().get(), static_cast<off_t>(offset), SEEK_SET) < 0)
+    return systemError(path, "seek");
+  if (base::Status status = writeAll(files, file.value().get(), path, data); !status)
+    return status;
+  if (files.fdatasync(file.value().get()) != 0)
+    return systemError(path, "sync");
+  return std::monostate{};
+}
+
 base::Status syncFolder(const FileOperations &files, const std::string &folder) {
   const base::Result<Descriptor> descriptor = openFile(folder, O_RDONLY | O_DIRECTORY);
   if (!descriptor)
--- a/packages/storage/src/Files.h
+++ b/packages/storage/src/Files.h
@@ -44,6 +44,11 @@
 base::Status writeAll(const FileOperations &files, int descriptor, const std::string &path,
                       std::string_view data);
 
+/// Writes the bytes at an offset of an existing file and syncs it. Errors: NotFound,
+/// StorageFailure.
+base::Status overwriteFile(const FileOperations &files, const std::string &path, std::size_t offset,
+                           std::string_view data);
+
 base::Status syncFolder(const FileOperations &files, const std::string &folder);
 
 inline constexpr std::string_view TemporarySuffix = ".tmp";
--- a/packages/storage/src/LogStore.cpp
+++ b/packages/storage/src/LogStore.cpp
@@ -137,19 +137,34 @@
     return std::monostate{};
   }
 
-  /// Cuts off what follows the valid records, and makes durable what was recovered: the process may
-  /// have ended between a write and its sync.
+  /// Opens the newest segment, cuts off what follows its valid records, and makes durable what was
+  /// recovered. What was written last may not be on the disk although it can be read: the process
+  /// may have ended between a write and its sync, and after a failed sync the page cache keeps data
+  /// that no later sync writes. So the last record is written again, in place: it may be durable
+  /// and acknowledged, and must not be missing for a moment.
   base::Status settle(const FolderContents &contents) {
+    const FileOperations &files = this->environment.files;
+    const SegmentTail &tail = contents.newestTail;
+    base::Status status =
+        tail.offset == 0
+            ? replaceFile(files, this->folder, segmentName(this->header.sequence), tail.bytes)
+            : overwriteFile(files, this->segmentPath(), tail.offset, tail.bytes);
+    if (!status)
+      return status;
+    if (status = this->openSegment(); !status)
+      return status;
     if (contents.newestFileBytes > contents.newestValidBytes &&
         ::ftruncate(this->file.get(), static_cast<off_t>(contents.newestValidBytes)) != 0)
       return systemError(this->segmentPath(), "truncation");
-    if (this->environment.files.fdatasync(this->file.get()) != 0)
+    if (files.fdatasync(this->file.get()) != 0)
       return systemError(this->segmentPath(), "sync");
-    if (base::Status status = syncFolder(this->environment.files, this->folder); !status)
+    if (status = syncFolder(files, this->folder); !status)
       return status;
-    if (contents.snapshotIsUnmarked)
-      return this->append(encodeRecord(std::nullopt, this->snapshot, {}));
-    return std::monostate{};
+    if (!contents.snapshotIsUnmarked)
+      return std::monostate{};
+    if (status = writeSnapshot(files, this->folder, *contents.snapshot); !status)
+      return status;
+    return this->append(encodeRecord(std::nullopt, this->snapshot, {}));
   }
 
   base::Status append(const std::string &body) {
@@ -304,6 +319,10 @@
   return identity;
 }
 
+base::Result<FolderIdentity> LogStore::identityOf(const std::string &folder) {
+  return readIdentity(folder);
+}
+
 base::Result<LogStore> LogStore::open(const std::string &folder, RecoveredState &recovered) {
   return LogStore::open(folder, recovered, systemEnvironment());
 }
@@ -334,8 +353,6 @@
   state->snapshot = contents.replay.snapshot;
   for (const StoredEntry &entry : contents.replay.entries)
     state->terms.push_back(entry.term);
-  if (const base::Status status = state->openSegment(); !status)
-    return status.error();
   if (const base::Status status = state->settle(contents); !status)
     return status.error();
 
--- a/packages/storage/src/Recovery.cpp
+++ b/packages/storage/src/Recovery.cpp
@@ -61,6 +61,8 @@
   contents.segments.push_back(info);
   contents.newest = *header;
   contents.newestValidBytes = scan.validBytes;
+  const std::size_t tail = scan.frames.size() > 1 ? scan.frames.back().offset : 0;
+  contents.newestTail = {tail, file.value().substr(tail, scan.validBytes - tail)};
   contents.newestFileBytes = file.value().size();
   return std::monostate{};
 }
