Go on writing when an obsolete file cannot be removed, and remove in a durable order

What callers could see: a replica left its group because an old log file could not be removed; after a loss of power during a removal, a daemon refused to start ("the segment before this one is missing"). Cause: a failed removal counted as a failed write. Several segments were removed before one sync of the folder, and a loss of power may keep or drop each of these names independently. Change: a failed removal is reported and repeated with the next call; each removed segment is synced before the next one is removed. Temporary files that cannot be removed no longer stop an opening.

--- a/packages/storage/include/banyanrill/storage/LogStore.h
+++ b/packages/storage/include/banyanrill/storage/LogStore.h
@@ -109,7 +109,7 @@
   base::Status write(const Batch &batch);
 
   /// Removes segments and snapshots that a durable snapshot makes unnecessary. Errors:
-  /// StorageFailure, after which every later call fails as well.
+  /// StorageFailure; after a failed removal, writes go on, and the next call removes the rest.
   base::Status removeObsolete();
 
 private:
--- a/packages/storage/src/LogStore.cpp
+++ b/packages/storage/src/LogStore.cpp
@@ -85,19 +85,16 @@
   return std::monostate{};
 }
 
-base::Status removeTemporaryFiles(const FileOperations &files, const std::string &folder) {
+/// Frees the room of replacements that were not completed. One that stays does no harm.
+void removeTemporaryFiles(const FileOperations &files, const std::string &folder) {
   const base::Result<std::vector<std::string>> names = listFolder(folder);
   if (!names)
-    return names.error();
+    return;
   for (const std::string &name : names.value()) {
-    if (name.size() < TemporarySuffix.size() ||
-        name.substr(name.size() - TemporarySuffix.size()) != TemporarySuffix)
-      continue;
-    const std::string path = pathIn(folder, name);
-    if (files.unlink(path.c_str()) != 0)
-      return systemError(path, "removal");
+    if (name.size() >= TemporarySuffix.size() &&
+        name.substr(name.size() - TemporarySuffix.size()) == TemporarySuffix)
+      files.unlink(pathIn(folder, name).c_str());
   }
-  return std::monostate{};
 }
 
 std::size_t encodedBytes(const std::vector<StoredEntry> &entries) {
@@ -122,6 +119,7 @@
   SnapshotMark snapshot;
   std::deque<std::uint64_t> terms; ///< Of the entries after the snapshot.
   bool failed = false;
+  bool hasUnsyncedRemoval = false;
 
   std::string segmentPath() const {
     return pathIn(this->folder, segmentName(this->header.sequence));
@@ -256,16 +254,26 @@
     return std::monostate{};
   }
 
+  /// Makes removals durable that are not yet.
+  base::Status syncRemovals() {
+    if (!this->hasUnsyncedRemoval)
+      return std::monostate{};
+    base::Status status = syncFolder(this->environment.files, this->folder);
+    this->hasUnsyncedRemoval = !status;
+    return status;
+  }
+
   base::Status removeObsolete() {
     const FileOperations &files = this->environment.files;
-    bool removed = false;
-    // Oldest first: a crash in between leaves no gap.
+    // Oldest first, each durable before the next: a crash in between leaves no gap.
     while (this->segments.size() > 1 && this->segments.front().maxIndex <= this->snapshot.index) {
+      if (base::Status status = this->syncRemovals(); !status)
+        return status;
       const std::string path = pathIn(this->folder, segmentName(this->segments.front().sequence));
       if (files.unlink(path.c_str()) != 0)
         return systemError(path, "removal");
       this->segments.erase(this->segments.begin());
-      removed = true;
+      this->hasUnsyncedRemoval = true;
     }
     const base::Result<std::vector<std::string>> names = listFolder(this->folder);
     if (!names)
@@ -277,9 +285,9 @@
       const std::string path = pathIn(this->folder, name);
       if (files.unlink(path.c_str()) != 0)
         return systemError(path, "removal");
-      removed = true;
+      this->hasUnsyncedRemoval = true;
     }
-    return removed ? syncFolder(files, this->folder) : base::Status(std::monostate{});
+    return this->syncRemovals();
   }
 
   Error failure() const {
@@ -335,8 +343,7 @@
   base::Result<Descriptor> lock = lockFolder(folder);
   if (!lock)
     return lock.error();
-  if (const base::Status status = removeTemporaryFiles(environment.files, folder); !status)
-    return status.error();
+  removeTemporaryFiles(environment.files, folder);
   base::Result<FolderContents> read = readFolder(folder);
   if (!read)
     return read.error();
@@ -388,9 +395,7 @@
 base::Status LogStore::removeObsolete() {
   if (this->state->failed)
     return this->state->failure();
-  base::Status status = this->state->removeObsolete();
-  this->state->failed = !status;
-  return status;
+  return this->state->removeObsolete();
 }
 
 } // namespace banyanrill::storage
--- a/packages/storage/tests/UnsyncedTailTest.cpp
+++ b/packages/storage/tests/UnsyncedTailTest.cpp
@@ -153,3 +153,27 @@
   checkRecoveredStateIsDurable();
   CHECK_EQUAL(4U, recovered.hardState.term);
 }
+
+/// Without a sync between them, a loss of power can keep the first removed segment and drop the
+/// second; the folder then has a gap and is refused.
+TEST(UnsyncedTail, RemovedSegmentIsGoneForGoodBeforeTheNextIsRemoved) {
+  auto store = open();
+  for (std::uint64_t index = 1; index <= 4; ++index)
+    CHECK(store.value().write(entry(index, 400)).ok());
+  CHECK(store.value().write({std::nullopt, StoredSnapshot{4, 1, "state"}, {}}).ok());
+  disk->calls.clear();
+  CHECK(store.value().removeObsolete().ok());
+  bool isSynced = true;
+  std::size_t removed = 0;
+  for (const std::string &call : disk->calls) {
+    if (call.rfind("unlink log-", 0) != 0) {
+      isSynced = isSynced || call == "sync";
+      continue;
+    }
+    CHECK(isSynced);
+    isSynced = false;
+    ++removed;
+  }
+  CHECK(isSynced);
+  CHECK(removed >= 3);
+}
