Take a write of no byte for a failure

What callers could see: a replica that hangs while its disk takes nothing and names no error. Cause: the loop over short writes repeated a write that returned 0 for ever. Ruled out: short writes of some bytes, which go on with the rest. Change: 0 is a storage failure like an error. Evidence: FailingDisk.WriteOfNothingIsAFailure failed before (the test ends the loop after 100 calls) and passes now.

--- a/packages/storage/src/Files.cpp
+++ b/packages/storage/src/Files.cpp
@@ -96,6 +96,8 @@
       continue;
     if (count < 0)
       return systemError(path, "write");
+    if (count == 0)
+      return Error{Errc::StorageFailure, path, "write failed: no byte was written"};
     data.remove_prefix(static_cast<std::size_t>(count));
   }
   return std::monostate{};
--- a/packages/storage/tests/FailingDiskTest.cpp
+++ b/packages/storage/tests/FailingDiskTest.cpp
@@ -98,6 +98,21 @@
       }));
 }
 
+/// A disk that takes no byte and names no error kept the thread in a loop.
+TEST(FailingDisk, WriteOfNothingIsAFailure) {
+  const TemporaryFolder folder;
+  CHECK(LogStore::create(folder.data(), 1, quickEnvironment()).ok());
+  Environment environment = quickEnvironment();
+  std::uint64_t calls = 0;
+  environment.files.write = [&calls](int descriptor, const char *data, std::size_t size) {
+    constexpr std::uint64_t MaxCalls = 100; // Ends the loop.
+    return ++calls < MaxCalls ? 0 : ::write(descriptor, data, size);
+  };
+  RecoveredState recovered;
+  auto store = LogStore::open(folder.data(), recovered, environment);
+  CHECK(!store.ok() || !store.value().write({StoredHardState{1, 1}, std::nullopt, {}}).ok());
+}
+
 TEST(FailingDisk, FolderIsCompleteOrCanBeCreatedAgain) {
   CHECK(rc::check("a failed creation can be repeated", [] {
     const TemporaryFolder folder;
