Let a replica whose disk refuses writes step aside and come back

Cause: the first failed write set flags in the group and the log store that nothing reset, and ended the storage thread. The replica still sent heartbeats, so it counted as live and was not replaced. Ruled out: the election (a new leader led 0.8 s after the disk of the former one had failed); slow disks, whose writes succeed later; recovery, since a restart undid the fault. Change: the storage thread closes the folder after a failed write and opens it again, with pauses of 0.1 to 1 s, by the recovery of a start. Until then the node has no replica: it neither votes, acknowledges nor leads, and passes requests on. Batches carry the number of the opening they build on and are dropped in a later one. The table stays: all that was applied is committed. A node that starts or founds its group on a full disk goes on once there is room. After 1.6 s it says that it has no disk, and the planner of the membership replaces it like a silent voter. SIGXFSZ is ignored, so that a limit on file sizes is an error of the write. The daemon with its own settings file does the same through its core. Why it works: a failed write is handled as what it is, a restart of the replica; that path was right.

--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 41> Catalogue = {{
+constexpr std::array<EventDefinition, 44> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -29,12 +29,19 @@
     {1009, Severity::Warning, "leader_unknown", "This daemon knows no leader that answers."},
     {2001, Severity::Info, "became_leader", "This replica was elected leader."},
     {2002, Severity::Info, "lost_leadership", "This replica is no longer the leader."},
-    {2003, Severity::Error, "storage_failed", "A write or sync failed; the replica stops."},
+    {2003, Severity::Error, "storage_failed",
+     "The data folder refuses writes; the replica steps aside until it is open again."},
     {2004, Severity::Warning, "log_tail_repaired", "An incomplete record was cut off the log."},
     {2005, Severity::Info, "membership_proposed", "The leader changes the members of the group."},
     {2006, Severity::Info, "group_founded", "The first members of the group agreed on themselves."},
     {2007, Severity::Warning, "leader_was_paused",
      "The leader stood still; it gives no orders until a majority confirms it."},
+    {2008, Severity::Info, "storage_reopened",
+     "The data folder takes writes again; the replica takes part again."},
+    {2009, Severity::Warning, "snapshot_skipped",
+     "The disk is behind; the log is not shortened this time."},
+    {2010, Severity::Warning, "removal_failed",
+     "An obsolete file could not be removed; it is tried again later."},
     {3001, Severity::Info, "owner_assigned", "The leader named the owner of a worker."},
     {3002, Severity::Info, "worker_adopted", "This daemon is now the owner of a worker."},
     {3003, Severity::Warning, "worker_grant_expired", "A worker stopped polling its owner."},
--- a/packages/daemon/include/banyanrill/daemon/Action.h
+++ b/packages/daemon/include/banyanrill/daemon/Action.h
@@ -35,7 +35,11 @@
   http::Call call;
 };
 
+/// Number of the first opening of a data folder by a process.
+inline constexpr std::uint64_t FirstOpening = 1;
+
 /// Make durable, then report `StorageDone` with the same index and term if `confirm` is set.
+/// Without it, the batch is a snapshot of the replica's own, which may be skipped.
 struct StoreBatch {
   std::optional<consensus::HardState> hardState;
   std::optional<consensus::Snapshot> snapshot;
@@ -43,6 +47,8 @@
   consensus::Index index = 0;
   consensus::Term term = 0;
   bool confirm = false;
+  /// The opening of the folder on whose state the batch builds; dropped in any later one.
+  std::uint64_t opening = FirstOpening;
 };
 
 using Action = std::variant<SendMessage, RespondExchange, StartCall, StoreBatch>;
@@ -68,17 +74,26 @@
 struct StorageDone {
   consensus::Index index = 0;
   consensus::Term term = 0;
+  std::uint64_t opening = FirstOpening; ///< Of the batch.
 };
 
+/// The folder refuses writes or cannot be opened. What was posted and not reported as done may be
+/// durable or not; nothing is written until `StorageOpened`.
 struct StorageFailed {
   std::string reason;
 };
 
+/// The folder is open again; `stored` is all that is durable.
+struct StorageOpened {
+  std::uint64_t opening = FirstOpening;
+  consensus::StoredState stored;
+};
+
 /// SIGTERM was received.
 struct StopEvent {};
 
 using CoreEvent = std::variant<PeerEvent, RequestEvent, DisconnectEvent, CallEvent, StorageDone,
-                               StorageFailed, StopEvent>;
+                               StorageFailed, StorageOpened, StopEvent>;
 
 /// What the parts of the core share. Only the core task uses it.
 struct Context {
--- a/packages/daemon/include/banyanrill/daemon/Core.h
+++ b/packages/daemon/include/banyanrill/daemon/Core.h
@@ -81,6 +81,7 @@
   void on(const CallEvent &event);
   void on(const StorageDone &event);
   void on(const StorageFailed &event);
+  void on(StorageOpened &event);
   void on(const StopEvent &event);
   void announceLeaving(const base::UpstreamId &upstream);
   void repeatLeavingNotices();
--- a/packages/daemon/include/banyanrill/daemon/Replication.h
+++ b/packages/daemon/include/banyanrill/daemon/Replication.h
@@ -31,11 +31,15 @@
 
   void onMessage(const consensus::Message &message);
   void onPropose(base::DaemonId from, wire::Propose propose);
-  void onStored(consensus::Index index, consensus::Term term);
+  void onStored(const StorageDone &done);
 
   /// Storage failed: stop taking part, so that nothing is acknowledged that is not durable.
   void halt();
 
+  /// The data folder is open again: take part with what is durable. The control state stays as it
+  /// is, since all that was applied is committed. Precondition: halted.
+  void resume(std::uint64_t folderOpening, consensus::StoredState stored);
+
   /// Appends a command of this daemon's own; only while it leads.
   void submit(control::Command command);
 
@@ -84,6 +88,7 @@
   consensus::Term barrierTerm = 0; ///< Term in which this leader's barrier was appended.
   consensus::Term readyTerm = 0;   ///< Term in which its barrier was applied.
   bool halted = false;
+  std::uint64_t opening = FirstOpening; ///< Of the data folder.
 };
 
 } // namespace banyanrill::daemon
--- a/packages/daemon/src/Core.cpp
+++ b/packages/daemon/src/Core.cpp
@@ -266,7 +266,7 @@
 
 void Core::on(const StorageDone &event) {
   if (this->log)
-    this->log->onStored(event.index, event.term);
+    this->log->onStored(event);
 }
 
 void Core::on(const StorageFailed &event) {
@@ -276,6 +276,13 @@
     this->log->halt();
 }
 
+void Core::on(StorageOpened &event) {
+  this->storageFailed = false;
+  base::logEvent(base::Event::StorageReopened, {});
+  if (this->log)
+    this->log->resume(event.opening, std::move(event.stored));
+}
+
 void Core::on(const StopEvent &) {
   if (this->stopping)
     return;
--- a/packages/daemon/src/Main.cpp
+++ b/packages/daemon/src/Main.cpp
@@ -32,6 +32,13 @@
   return ExitFailed;
 }
 
+/// Turns signals about a single write into errors of that write: a peer that has gone, and a file
+/// beyond the limit of its size.
+void ignoreWriteSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -53,10 +60,9 @@
   app.set_version_flag("--version", BANYANRILL_VERSION);
   CLI11_PARSE(app, argc, argv);
 
-  if (onPlatform) {
-    std::signal(SIGPIPE, SIG_IGN);
+  ignoreWriteSignals();
+  if (onPlatform)
     return reportStatus(banyanrill::platform::run(advertised));
-  }
   if (settingsFile.empty()) {
     std::fprintf(stderr, "banyanrilld: a settings file or --platform is required\n");
     return ExitSettingsRejected;
@@ -81,6 +87,5 @@
       config.value().cell + "-" + std::to_string(config.value().daemon), config.value().logLevel);
   std::signal(SIGTERM, onSignal);
   std::signal(SIGINT, onSignal);
-  std::signal(SIGPIPE, SIG_IGN);
   return reportStatus(banyanrill::daemon::runDaemon(config.value(), stopRequested));
 }
--- a/packages/daemon/src/Replication.cpp
+++ b/packages/daemon/src/Replication.cpp
@@ -83,14 +83,33 @@
   this->queue.push_back({std::move(propose.command), {from, propose.proposal}});
 }
 
-void Replication::onStored(consensus::Index index, consensus::Term term) {
-  if (this->halted)
+void Replication::onStored(const StorageDone &done) {
+  if (this->halted || done.opening != this->opening)
     return;
-  this->log.onStored(index, term, this->context.now);
+  this->log.onStored(done.index, done.term, this->context.now);
   this->drainOutput();
 }
 
-void Replication::halt() { this->halted = true; }
+void Replication::halt() {
+  this->halted = true;
+  this->answerLost();
+}
+
+void Replication::resume(std::uint64_t folderOpening, consensus::StoredState stored) {
+  assert(this->halted);
+  if (stored.snapshot && stored.snapshot->index > this->applied) {
+    if (const base::Status status = this->load(stored); !status)
+      failOnEntry(status.error());
+  }
+  this->snapshotIndex = stored.snapshot ? stored.snapshot->index : 0;
+  this->log = consensus::Replica(
+      optionsFor(this->context.config), initialMembership(this->context.config), std::move(stored),
+      base::RandomSource(this->context.random.next()), this->context.now);
+  this->opening = folderOpening;
+  this->barrierTerm = 0;
+  this->readyTerm = 0;
+  this->halted = false;
+}
 
 void Replication::submit(control::Command command) {
   if (this->leads())
@@ -169,12 +188,13 @@
     store.index = output.storedIndex;
     store.term = output.storedTerm;
     store.confirm = true;
+    store.opening = this->opening;
     store.hardState = output.hardState;
     store.snapshot = output.snapshot;
     store.entries = std::move(output.entries);
     this->context.actions.emplace_back(std::move(store));
   }
-  if (output.snapshot) {
+  if (output.snapshot && output.snapshot->index > this->applied) {
     if (const base::Status status = this->controlState.load(output.snapshot->data); !status)
       failOnEntry(status.error());
     this->applied = output.snapshot->index;
@@ -183,11 +203,15 @@
   }
   for (const consensus::Entry &entry : output.committed)
     this->apply(entry);
-  if (this->applied - this->snapshotIndex >= SnapshotInterval)
+  // After a reopening, the log follows again from behind the state.
+  if (this->applied - this->snapshotIndex >= SnapshotInterval &&
+      this->log.commitIndex() >= this->applied)
     this->takeSnapshot();
 }
 
 void Replication::apply(const consensus::Entry &entry) {
+  if (entry.index <= this->applied)
+    return; // Applied before the data folder was opened again.
   assert(entry.index == this->applied + 1);
   this->applied = entry.index;
   this->appliedTerm = entry.term;
@@ -237,6 +261,7 @@
   this->snapshotIndex = this->applied;
   StoreBatch store;
   store.snapshot = snapshot;
+  store.opening = this->opening;
   this->context.actions.emplace_back(std::move(store));
   this->log.compact(std::move(snapshot));
 }
--- a/packages/daemon/src/Runtime.cpp
+++ b/packages/daemon/src/Runtime.cpp
@@ -75,11 +75,13 @@
 };
 
 base::Status Runtime::startStorage(std::optional<consensus::StoredState> &stored) {
-  base::Result<storage::LogStore> store = openDataFolder(this->config, stored.emplace());
-  if (!store)
-    return store.error();
+  base::Result<DataFolder> folder = openDataFolder(this->config);
+  if (!folder)
+    return folder.error();
+  stored = std::move(folder.value().stored);
   this->storage = std::make_unique<StorageTask>(
-      std::move(store.value()), [this](CoreEvent event) { this->mailbox.post(std::move(event)); });
+      std::move(folder.value().store), [this] { return openDataFolder(this->config); },
+      [this](CoreEvent event) { this->mailbox.post(std::move(event)); });
   return std::monostate{};
 }
 
--- a/packages/daemon/tests/LostDataFolderTest.cpp
+++ b/packages/daemon/tests/LostDataFolderTest.cpp
@@ -13,7 +13,6 @@
       (std::filesystem::temp_directory_path() / ("banyanrill-" + std::to_string(getpid())))
           .string();
   daemon::Config config;
-  consensus::StoredState stored;
 
   void setup() override {
     config.daemon = 3;
@@ -24,9 +23,9 @@
 
 TEST(LostDataFolder, IsNotReplacedByAnEmptyOne) {
   CHECK(daemon::initializeDataFolder(config).ok());
-  CHECK(daemon::openDataFolder(config, stored).ok());
+  CHECK(daemon::openDataFolder(config).ok());
   std::filesystem::remove_all(folder);
-  const auto opened = daemon::openDataFolder(config, stored);
+  const auto opened = daemon::openDataFolder(config);
   CHECK(!opened.ok());
   CHECK(opened.error().code == base::Errc::NotFound);
 }
@@ -39,5 +38,5 @@
 TEST(LostDataFolder, OfAnotherReplicaIsRefused) {
   CHECK(daemon::initializeDataFolder(config).ok());
   config.daemon = 4;
-  CHECK(!daemon::openDataFolder(config, stored).ok());
+  CHECK(!daemon::openDataFolder(config).ok());
 }
--- a/packages/membership/include/banyanrill/membership/PeerDirectory.h
+++ b/packages/membership/include/banyanrill/membership/PeerDirectory.h
@@ -86,6 +86,8 @@
   std::optional<KnownLeader> leader() const;
 
   void setSeeds(std::vector<std::string> seeds) { this->options.seeds = std::move(seeds); }
+  /// Whether this daemon's disk takes writes; the leader replaces a voter without one.
+  void setHasDisk(bool hasDisk) { this->options.self.hasDisk = hasDisk; }
   void setStopping() { this->options.self.stopping = true; }
   const PeerRecord &self() const { return this->options.self; }
 
--- a/packages/node/src/Group.cpp
+++ b/packages/node/src/Group.cpp
@@ -39,6 +39,19 @@
   std::abort();
 }
 
+base::Result<daemon::DataFolder> openOrCreate(const std::string &folder, base::DaemonId id) {
+  base::Result<daemon::DataFolder> opened = daemon::openDataFolder(folder);
+  if (!opened && opened.error().code == base::Errc::NotFound) {
+    const auto created = storage::LogStore::create(folder, id);
+    if (!created)
+      return created.error();
+    opened = daemon::openDataFolder(folder);
+  }
+  if (opened && opened.value().replica != id)
+    return base::Error{base::Errc::DataCorrupted, folder, "the folder belongs to another replica"};
+  return opened;
+}
+
 } // namespace
 
 base::Result<std::unique_ptr<Group>> Group::open(const std::string &folder,
@@ -46,28 +59,32 @@
                                                  base::TimePoint now) {
   std::unique_ptr<Group> group(new Group(random, std::move(handlers)));
   const std::string replicaFolder = folder + "/replica";
-  base::Result<storage::LogStore> store =
-      daemon::openDataFolder(replicaFolder, group->stored, group->id);
-  if (!store && store.error().code == base::Errc::NotFound) {
-    // A new folder gets a new id, so a daemon that lost its disk cannot vote twice in a term.
-    const auto number = static_cast<std::uint32_t>(group->random.next() | 1U);
-    const auto created = storage::LogStore::create(replicaFolder, number);
-    if (!created)
-      return created.error();
-    store = daemon::openDataFolder(replicaFolder, group->stored, group->id);
+  const base::Result<storage::FolderIdentity> identity =
+      storage::LogStore::identityOf(replicaFolder);
+  if (!identity && identity.error().code != base::Errc::NotFound)
+    return identity.error();
+  // A new folder gets a new id, so a daemon that lost its disk cannot vote twice in a term.
+  group->id =
+      identity ? identity.value().replica : static_cast<base::DaemonId>(group->random.next() | 1U);
+  const daemon::FolderOpener opener = [replicaFolder, id = group->id] {
+    return openOrCreate(replicaFolder, id);
+  };
+  base::Result<daemon::DataFolder> opened = opener();
+  if (!opened && opened.error().code != base::Errc::StorageFailure)
+    return opened.error();
+  std::optional<storage::LogStore> store;
+  if (opened) {
+    store = std::move(opened.value().store);
+    group->onOpened(daemon::FirstOpening, std::move(opened.value().stored), now);
+  } else {
+    group->closedSince = now;
   }
-  if (!store)
-    return store.error();
   Group *owner = group.get();
   group->storage = std::make_unique<daemon::StorageTask>(
-      std::move(store.value()), [owner](daemon::CoreEvent event) {
+      std::move(store), opener, [owner](daemon::CoreEvent event) {
         owner->handlers.runLater(
             [owner, event = std::move(event)]() mutable { owner->onStorage(std::move(event)); });
       });
-  group->blank = !group->stored.snapshot && group->stored.entries.empty() &&
-                 group->stored.hardState == consensus::HardState();
-  if (!group->blank)
-    group->start(std::move(group->stored), now);
   return group;
 }
 
@@ -83,22 +100,35 @@
   first.data = wire::encode(state);
   consensus::StoredState initial;
   initial.hardState.term = 1;
-  initial.snapshot = first;
+  initial.snapshot = std::move(first);
+  this->founding = std::move(initial);
+  this->startFounding(now);
+}
+
+void Group::startFounding(base::TimePoint now) {
   daemon::StoreBatch batch;
-  batch.hardState = initial.hardState;
-  batch.snapshot = first;
+  batch.hardState = this->founding->hardState;
+  batch.snapshot = this->founding->snapshot;
+  batch.opening = this->opening;
   this->storage->post(std::move(batch));
-  this->start(std::move(initial), now);
+  this->start(*this->founding, now);
 }
 
-void Group::join(base::TimePoint now) { this->start({}, now); }
+void Group::join(base::TimePoint now) {
+  this->hasJoined = true;
+  this->start({}, now);
+}
 
-void Group::start(consensus::StoredState initial, base::TimePoint now) {
+void Group::start(consensus::StoredState stored, base::TimePoint now) {
   this->blank = false;
-  if (initial.snapshot)
-    this->load(*initial.snapshot);
+  // The table never goes back: all that was applied is committed.
+  if (stored.snapshot && stored.snapshot->index > this->applied)
+    this->load(*stored.snapshot);
+  this->snapshotIndex = stored.snapshot ? stored.snapshot->index : 0;
+  this->barrierTerm = 0;
+  this->readyTerm = 0;
   this->replica = std::make_unique<consensus::Replica>(
-      replicaOptions(this->id), consensus::Membership(), std::move(initial),
+      replicaOptions(this->id), consensus::Membership(), std::move(stored),
       base::RandomSource(this->random.next()), now);
 }
 
@@ -113,24 +143,22 @@
 }
 
 void Group::step(const consensus::Message &message, base::TimePoint now) {
-  if (this->replica == nullptr || this->failed)
-    return;
-  this->replica->step(message, now);
+  if (this->replica != nullptr)
+    this->replica->step(message, now);
 }
 
 void Group::tick(base::TimePoint now) {
-  if (this->replica != nullptr && !this->failed)
+  if (this->replica != nullptr)
     this->replica->tick(now);
 }
 
 bool Group::isLeader() const {
-  return this->replica != nullptr && !this->failed &&
-         this->replica->role() == consensus::Role::Leader &&
+  return this->replica != nullptr && this->replica->role() == consensus::Role::Leader &&
          this->readyTerm == this->replica->term();
 }
 
 base::DaemonId Group::leader() const {
-  return this->replica == nullptr || this->failed ? base::NoDaemon : this->replica->leader();
+  return this->replica == nullptr ? base::NoDaemon : this->replica->leader();
 }
 
 consensus::Term Group::term() const { return this->replica == nullptr ? 0 : this->replica->term(); }
@@ -161,13 +189,15 @@
 }
 
 void Group::transferLeadership(base::TimePoint now) {
-  if (this->replica != nullptr && !this->failed)
+  if (this->replica != nullptr)
     this->replica->transferLeadership(now);
 }
 
 void Group::work(base::TimePoint now, std::int64_t wallClockMs) {
-  if (this->replica == nullptr || this->failed)
+  if (this->replica == nullptr) {
+    this->refuseProposals();
     return;
+  }
   do {
     const bool stillLeads = this->replica->role() == consensus::Role::Leader &&
                             (!this->isLeading || this->replica->term() == this->readyTerm);
@@ -179,11 +209,7 @@
 
 void Group::appendProposals(std::int64_t wallClockMs, base::TimePoint now) {
   if (this->replica->role() != consensus::Role::Leader) {
-    std::deque<Proposal> refused = std::exchange(this->proposals, {});
-    for (const Proposal &proposal : refused) {
-      if (proposal.decided)
-        proposal.decided(ProposalOutcome::NotInLog);
-    }
+    this->refuseProposals();
     return;
   }
   consensus::Index index = 0;
@@ -213,17 +239,26 @@
   }
 }
 
+void Group::refuseProposals() {
+  const std::deque<Proposal> refused = std::exchange(this->proposals, {});
+  for (const Proposal &proposal : refused) {
+    if (proposal.decided)
+      proposal.decided(ProposalOutcome::NotInLog);
+  }
+}
+
 bool Group::takeOutput(base::TimePoint now) {
   consensus::Output output = this->replica->takeOutput();
   for (const consensus::Message &message : output.messages)
     this->handlers.send(message);
-  if (output.snapshot)
+  if (output.snapshot && output.snapshot->index > this->applied)
     this->load(*output.snapshot);
   if (output.mustStore()) {
     daemon::StoreBatch batch;
     batch.index = output.storedIndex;
     batch.term = output.storedTerm;
     batch.confirm = true;
+    batch.opening = this->opening;
     batch.hardState = output.hardState;
     batch.snapshot = std::move(output.snapshot);
     batch.entries = std::move(output.entries);
@@ -239,7 +274,9 @@
     this->reads.erase(found);
     confirmed(this->applied >= read.index);
   }
-  if (this->applied - this->snapshotIndex >= SnapshotInterval)
+  // After a reopening, the log follows again from behind the table.
+  if (this->applied - this->snapshotIndex >= SnapshotInterval &&
+      this->replica->commitIndex() >= this->applied)
     this->takeSnapshot();
   if (this->replica->role() == consensus::Role::Leader &&
       this->barrierTerm != this->replica->term())
@@ -248,6 +285,8 @@
 }
 
 void Group::apply(const consensus::Entry &entry) {
+  if (entry.index <= this->applied)
+    return; // Applied before the data folder was opened again.
   this->applied = entry.index;
   this->appliedTerm = entry.term;
   if (entry.kind != consensus::EntryKind::Command)
@@ -297,21 +336,58 @@
   this->snapshotIndex = this->applied;
   daemon::StoreBatch batch;
   batch.snapshot = snapshot;
+  batch.opening = this->opening;
   this->storage->post(std::move(batch));
   this->replica->compact(std::move(snapshot));
 }
 
 void Group::onStorage(daemon::CoreEvent event) {
+  const base::TimePoint now = base::steadyNow();
   if (const auto *done = std::get_if<daemon::StorageDone>(&event)) {
-    this->replica->onStored(done->index, done->term, base::steadyNow());
-    this->handlers.wake();
-    return;
+    if (done->opening != this->opening)
+      return;
+    this->founding.reset(); // Stored before what was confirmed now.
+    this->replica->onStored(done->index, done->term, now);
+  } else if (const auto *failure = std::get_if<daemon::StorageFailed>(&event)) {
+    this->stepAside(failure->reason, now);
+  } else if (auto *opened = std::get_if<daemon::StorageOpened>(&event)) {
+    this->onOpened(opened->opening, std::move(opened->stored), now);
+    if (this->handlers.reopened)
+      this->handlers.reopened();
   }
-  if (const auto *failure = std::get_if<daemon::StorageFailed>(&event)) {
-    base::logEvent(base::Event::StorageFailed, {{"message", failure->reason}});
-    if (this->isLeading)
-      this->loseLeadership();
-    this->failed = true;
+  this->handlers.wake();
+}
+
+void Group::stepAside(const std::string &reason, base::TimePoint now) {
+  base::logEvent(base::Event::StorageFailed, {{"message", reason}});
+  ++this->failures;
+  this->opening = 0;
+  this->blank = false;
+  if (!this->closedSince)
+    this->closedSince = now;
+  this->loseLeadership();
+  this->refuseProposals();
+  this->replica.reset();
+}
+
+void Group::onOpened(std::uint64_t folderOpening, consensus::StoredState stored,
+                     base::TimePoint now) {
+  this->opening = folderOpening;
+  if (this->closedSince) {
+    const auto closed =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->closedSince);
+    base::logEvent(base::Event::StorageReopened, {{"after_ms", std::to_string(closed.count())}});
+    this->closedSince.reset();
+  }
+  if (stored.snapshot || !stored.entries.empty() || stored.hardState != consensus::HardState()) {
+    this->start(std::move(stored), now);
+  } else if (this->founding) {
+    // Nothing was stored, so nothing was promised: the founder starts as the others did.
+    this->startFounding(now);
+  } else if (this->hasJoined) {
+    this->start({}, now);
+  } else {
+    this->blank = true;
   }
 }
 
--- a/packages/node/src/Group.h
+++ b/packages/node/src/Group.h
@@ -31,24 +31,35 @@
   /// Schedules a function on the node's thread. Called from the storage thread.
   std::function<void(std::function<void()>)> runLater;
   std::function<void()> wake; ///< Called when there is new output to process.
+  /// The data folder is open after a time without it. Optional.
+  std::function<void()> reopened;
 };
 
+/// While the data folder refuses writes, this node takes no part in the group: it neither votes,
+/// acknowledges nor leads. Once the folder can be opened again, it goes on as after a restart.
 /// Not thread-safe: owned by the node's thread.
 class Group {
 public:
-  /// Opens or creates the data folder. Errors: those of `storage::LogStore`.
+  /// Opens or creates the data folder. If it refuses writes, that is tried again in the background.
+  /// Errors: those of `storage::LogStore`, but for a StorageFailure of a write.
   static base::Result<std::unique_ptr<Group>> open(const std::string &folder,
                                                    base::RandomSource random,
                                                    GroupHandlers handlers, base::TimePoint now);
 
   base::DaemonId self() const { return this->id; }
-  /// Returns whether the folder is empty, so that this node may found a group or join one.
+  /// Returns whether the data folder is open.
+  bool isOpen() const { return !this->closedSince; }
+  /// Since when the data folder has not been open; empty if it is open.
+  std::optional<base::TimePoint> closedFrom() const { return this->closedSince; }
+  /// How often the data folder has failed since the start.
+  std::uint64_t storageFailures() const { return this->failures; }
+  /// Returns whether the folder is open and empty, so that this node may found a group or join one.
   bool isBlank() const { return this->blank; }
 
   /// Starts this node as one of the first voters. Precondition: `isBlank()`.
   void found(const std::vector<base::DaemonId> &voters,
              const std::map<std::uint32_t, jobs::Member> &members, base::TimePoint now);
-  /// Starts without a membership; the leader adds this node later.
+  /// Starts without a membership; the leader adds this node later. Precondition: `isBlank()`.
   void join(base::TimePoint now);
   bool isRunning() const { return this->replica != nullptr; }
 
@@ -87,21 +98,29 @@
       : random(source), handlers(std::move(groupHandlers)) {}
 
   void start(consensus::StoredState stored, base::TimePoint now);
+  void startFounding(base::TimePoint now);
   void appendProposals(std::int64_t wallClockMs, base::TimePoint now);
   bool takeOutput(base::TimePoint now);
   void apply(const consensus::Entry &entry);
   void load(const consensus::Snapshot &snapshot);
   void takeSnapshot();
   void onStorage(daemon::CoreEvent event);
+  void onOpened(std::uint64_t folderOpening, consensus::StoredState stored, base::TimePoint now);
+  void stepAside(const std::string &reason, base::TimePoint now);
+  void refuseProposals();
   void loseLeadership();
 
   base::RandomSource random;
   GroupHandlers handlers;
   base::DaemonId id = base::NoDaemon;
-  bool blank = true;
-  bool failed = false; ///< The disk failed; the replica no longer participates.
-  consensus::StoredState stored;
-  std::unique_ptr<consensus::Replica> replica;
+  bool blank = false;
+  std::uint64_t opening = 0; ///< Of the data folder; 0 while it is not open.
+  std::optional<base::TimePoint> closedSince;
+  std::uint64_t failures = 0;
+  /// The first state of a founder, until it is certainly stored.
+  std::optional<consensus::StoredState> founding;
+  bool hasJoined = false;
+  std::unique_ptr<consensus::Replica> replica; ///< Null before the start and while not open.
   std::unique_ptr<daemon::StorageTask> storage;
   jobs::Table jobTable;
   consensus::Index applied = 0;
--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -20,10 +20,16 @@
   ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
 }
 
+/// Whether the node was heard from lately and its disk takes writes.
+bool isUsable(const membership::PeerDirectory &peerDirectory, consensus::ReplicaId id,
+              base::TimePoint now) {
+  const membership::PeerRecord *peer = peerDirectory.find(id);
+  return peer != nullptr && peer->hasDisk && peerDirectory.isLive(id, now, VoterLostTimeout);
+}
+
 bool canBecomeVoter(const membership::PeerDirectory &peerDirectory, consensus::ReplicaId id,
                     base::TimePoint now) {
-  const membership::PeerRecord *peer = peerDirectory.find(id);
-  return peer != nullptr && !peer->stopping && peerDirectory.isLive(id, now, VoterLostTimeout);
+  return isUsable(peerDirectory, id, now) && !peerDirectory.find(id)->stopping;
 }
 
 } // namespace
@@ -50,7 +56,7 @@
   }
   std::vector<consensus::ReplicaId> lost;
   for (const consensus::ReplicaId id : current.voters) {
-    if (id != self && !peerDirectory.isLive(id, now, VoterLostTimeout))
+    if (id != self && !isUsable(peerDirectory, id, now))
       lost.push_back(id);
   }
   const std::size_t liveVoters = current.voters.size() - lost.size();
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -21,6 +21,10 @@
 /// How often the leader checks the group's membership.
 constexpr base::Duration MembershipCheckInterval = std::chrono::milliseconds(150);
 
+/// A node whose disk has refused writes for this long says that it has none, so that another takes
+/// its place in the group; as long as the silence after which the leader replaces a voter.
+constexpr base::Duration DiskLossTimeout = std::chrono::milliseconds(1600);
+
 /// Large enough for configurations with thousands of queues.
 constexpr std::size_t MaxBodyBytes = std::size_t(4) * 1024 * 1024;
 
@@ -67,11 +71,13 @@
     handlers.becameLeader = [this] { this->onBecameLeader(); };
     handlers.lostLeadership = [this] { this->onLostLeadership(); };
     handlers.runLater = [this](std::function<void()> function) {
+      this->loopAssigned.wait();
       const std::lock_guard lock(this->closeMutex);
       if (!this->closed)
         this->loop->run(std::move(function));
     };
     handlers.wake = [this] { this->scheduleWork(); };
+    handlers.reopened = [this] { this->onDiskReopened(); };
     base::Result<std::unique_ptr<Group>> opened =
         Group::open(this->options.dataFolder, base::RandomSource(this->random.next()),
                     std::move(handlers), this->now);
@@ -89,8 +95,8 @@
   directoryOptions.self.region = this->options.region;
   directoryOptions.self.hasDisk = this->group != nullptr;
   directoryOptions.seeds = this->options.seeds;
-  directoryOptions.canBootstrap =
-      this->options.firstStart && this->group != nullptr && this->group->isBlank();
+  directoryOptions.canBootstrap = this->options.firstStart && this->group != nullptr &&
+                                  (this->group->isBlank() || !this->group->isOpen());
   directoryOptions.minimumBootstrapMembers = 2 * this->options.toleratedFailures + 1;
   this->peerDirectory =
       std::make_unique<membership::PeerDirectory>(std::move(directoryOptions), this->now);
@@ -195,6 +201,14 @@
   this->relay();
 }
 
+void Node::State::onDiskReopened() {
+  this->now = base::steadyNow();
+  if (this->group->isBlank() && !this->peerDirectory->isBootstrapping())
+    this->group->join(this->now);
+  else if (!this->group->isBlank() && this->peerDirectory->isBootstrapping())
+    this->peerDirectory->endBootstrap({});
+}
+
 void Node::State::relay() {
   const bool waiting = !this->answers.answers.answers.empty() ||
                        std::any_of(this->relays.begin(), this->relays.end(),
@@ -271,6 +285,9 @@
   this->logLeader();
   if (this->group) {
     this->group->tick(this->now);
+    const std::optional<base::TimePoint> closed = this->group->closedFrom();
+    this->peerDirectory->setHasDisk(!closed || this->now - *closed < DiskLossTimeout ||
+                                    this->peerDirectory->isBootstrapping());
     if (this->peerDirectory->isBootstrapping())
       this->bootstrapGroup();
     if (this->group->isLeader() && this->now >= this->nextMembershipCheck) {
@@ -314,8 +331,14 @@
 base::Result<std::unique_ptr<Node>> Node::start(NodeOptions options, ProtocolAdapter adapter) {
   auto state = std::make_unique<State>(std::move(options), std::move(adapter));
   const base::Status opened = state->start();
-  if (!opened)
+  if (!opened) {
+    {
+      const std::lock_guard lock(state->closeMutex);
+      state->closed = true;
+    }
+    state->loopAssigned.count_down(); // The storage thread may wait for it.
     return opened.error();
+  }
   return std::unique_ptr<Node>(new Node(std::move(state)));
 }
 
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -119,6 +119,8 @@
   void onWake();
   void relay();
   void detectSuspension();
+  /// The data folder is open after a time without it.
+  void onDiskReopened();
   /// Returns whether the leader may give orders. After a pause it asks the group first.
   bool mayGiveOrders();
   void logLeader();
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -259,6 +259,10 @@
   line("requests_forwarded_total", this->metrics.forwarded);
   line("peer_calls_failed_total", this->metrics.peerCallsFailed);
   line("leaderships_total", this->metrics.leaderships);
+  if (this->group) {
+    line("storage_open", this->group->isOpen() ? 1 : 0);
+    line("storage_failures_total", this->group->storageFailures());
+  }
   line("leads", this->group && this->group->isLeader() ? 1 : 0);
   line("knows_leader", this->peerDirectory->leader() ? 1 : 0);
   line("log_lines_dropped_total", base::droppedLogLines());
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -55,6 +55,30 @@
 
 TEST(MembershipPlanner, LostVoterWithoutReplacementStays) { CHECK(!nextFor({{1, 2, 3}, {}}, {2})); }
 
+/// A voter whose disk had failed sent heartbeats as before and was never replaced.
+TEST(MembershipPlanner, LearnerReplacesAVoterWithoutItsDisk) {
+  membership::PeerDirectory peerDirectory = peerDirectoryWith({2, 3, 4});
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(3);
+  heartbeat.sender.hasDisk = false;
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  const auto promoted = MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, Now);
+  CHECK(promoted.has_value());
+  CHECK((promoted->voters == std::vector<consensus::ReplicaId>{1, 2, 3, 4}));
+  const auto removed = MembershipPlanner().next(*promoted, peerDirectory, 1, 3, Now);
+  CHECK(removed.has_value());
+  CHECK((removed->voters == std::vector<consensus::ReplicaId>{1, 2, 4}));
+}
+
+TEST(MembershipPlanner, LearnerWithoutItsDiskIsNotPromoted) {
+  membership::PeerDirectory peerDirectory = peerDirectoryWith({2, 4});
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(4);
+  heartbeat.sender.hasDisk = false;
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  CHECK(!MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, Now));
+}
+
 TEST(MembershipPlanner, LearnerIsNotPromotedWhileAllVotersAreLive) {
   CHECK(!nextFor({{1, 2, 3}, {4}}, {2, 3, 4}));
 }
--- a/tests/cell/TestCell.cpp
+++ b/tests/cell/TestCell.cpp
@@ -122,6 +122,8 @@
   std::optional<consensus::StoredState> stored;
   if (node.config.self().replica)
     stored = node.disk.state;
+  node.disk.opening = daemon::FirstOpening;
+  node.disk.isOpen = true;
   auto created = daemon::Core::create(node.config, std::move(stored), this->randomness.next(),
                                       node.run, this->now);
   node.core = std::move(created.value());
@@ -220,14 +222,29 @@
   const std::uint64_t run = this->nodes[index].run;
   auto batch = std::make_shared<daemon::StoreBatch>(std::move(action));
   this->at(this->now + this->delay(), [this, index, run, batch] {
-    if (!this->nodes[index].core || this->nodes[index].run != run)
+    Node &node = this->nodes[index];
+    if (!node.core || node.run != run || !node.disk.isOpen || batch->opening != node.disk.opening)
       return;
+    if (node.disk.isFull) {
+      node.disk.isOpen = false;
+      this->deliver(index, run, daemon::StorageFailed{"no space"});
+      return;
+    }
     this->store(index, *batch);
     if (batch->confirm)
-      this->deliver(index, run, daemon::StorageDone{batch->index, batch->term});
+      this->deliver(index, run, daemon::StorageDone{batch->index, batch->term, batch->opening});
   });
 }
 
+void TestCell::healDisk(base::DaemonId daemon) {
+  Node &node = this->nodes[daemon - 1];
+  node.disk.isFull = false;
+  if (std::exchange(node.disk.isOpen, true))
+    return;
+  ++node.disk.opening;
+  this->deliver(daemon - 1, node.run, daemon::StorageOpened{node.disk.opening, node.disk.state});
+}
+
 void TestCell::store(std::size_t index, const daemon::StoreBatch &batch) {
   consensus::StoredState &state = this->nodes[index].disk.state;
   if (batch.hardState)
--- a/tests/cell/TestCell.h
+++ b/tests/cell/TestCell.h
@@ -57,6 +57,9 @@
   /// Cuts or restores messages between two daemons, in the given direction.
   void setCut(base::DaemonId from, base::DaemonId to, bool cut);
   void setWorkerCut(std::size_t worker, bool cut); ///< The worker reaches no daemon.
+  /// Its disk refuses writes until `healDisk`, which opens the data folder again.
+  void fillDisk(base::DaemonId daemon) { this->nodes[daemon - 1].disk.isFull = true; }
+  void healDisk(base::DaemonId daemon);
   void healAll();
   void setLoss(double share) { this->loss = share; }
 
@@ -89,6 +92,9 @@
 private:
   struct Disk {
     consensus::StoredState state;
+    bool isFull = false;
+    bool isOpen = true;
+    std::uint64_t opening = daemon::FirstOpening;
   };
   struct Node {
     daemon::Config config;
