Take a report as evidence only about the life that it names

Cause: the table took a later start at an address, or under an id, as proof that the worker there had crashed, whoever said so, and released its runs while it held its lease. Change: a report changes only the life that it names. Another id at an address is recorded beside the worker; another start, address or service under a known id is a claim. The worker in doubt is asked at once, beside a renewal that waits, four times a second at most. 421 at its address removes it as before; its own answer with another start is the new command RestartWorker, which goes to the end of the list, so that stored logs stay readable. Reports of a service that no configuration names are answered and not recorded, unless they are of a known life; they are not cached as acknowledged. An answer is judged by the time at which its own order left, since two renewals may be in flight now. Tests changed: Table.LateReportDoesNotEndADrain and RunsOfAnEarlierIncarnationStayPlacedUntilReleased began the new life with a report; they begin it with RestartWorker now and check the same.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -55,6 +55,8 @@
   WorkerRegistered = 3005,
   WorkerRemoved = 3006,
   WorkerNotHeld = 3007,
+  WorkerReportIgnored = 3008,
+  WorkerRestarted = 3009,
   UpstreamAnnounced = 3101,
   UpstreamLeft = 3102,
   JobAccepted = 3201,
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 44> Catalogue = {{
+constexpr std::array<EventDefinition, 46> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -49,6 +49,9 @@
     {3005, Severity::Info, "worker_registered", "A worker's report changed what is known of it."},
     {3006, Severity::Warning, "worker_removed", "A worker has gone; its runs are placed again."},
     {3007, Severity::Warning, "worker_not_held", "A worker did not renew its lease."},
+    {3008, Severity::Warning, "worker_report_ignored",
+     "A report contradicts what is known, or names no service in use; nothing changes."},
+    {3009, Severity::Info, "worker_restarted", "A worker answered in another life than before."},
     {3101, Severity::Info, "upstream_announced", "A new upstream instance announced itself."},
     {3102, Severity::Info, "upstream_left", "An upstream instance left or fell silent."},
     {3201, Severity::Info, "job_accepted", "A job was accepted."},
@@ -91,7 +94,8 @@
 
 bool isFrequent(Event event) {
   return event == Event::RunOrdered || event == Event::RunStopOrdered || event == Event::RunEnded ||
-         event == Event::RunReleased || event == Event::AdviceAnswered;
+         event == Event::RunReleased || event == Event::AdviceAnswered ||
+         event == Event::WorkerReportIgnored;
 }
 
 log4cxx::LevelPtr levelOf(Severity severity) {
--- a/packages/jobs/include/banyanrill/jobs/Command.h
+++ b/packages/jobs/include/banyanrill/jobs/Command.h
@@ -64,6 +64,8 @@
   bool operator==(const ReleaseRuns &) const = default;
 };
 
+/// A worker's report. Ignored if it claims another life or place of a known worker: it is evidence
+/// only about the life that it names.
 struct RegisterWorker {
   WorkerProfile profile;
   bool operator==(const RegisterWorker &) const = default;
@@ -98,9 +100,18 @@
   bool operator==(const PutMember &) const = default;
 };
 
+/// The worker has answered under its id in another life than the recorded one. Its runs of the
+/// former life stay placed until they are released.
+struct RestartWorker {
+  WorkerIncarnation former;
+  WorkerProfile profile; ///< Of the life that answered.
+  bool operator==(const RestartWorker &) const = default;
+};
+
+/// New commands go to the end: the index is part of the stored log.
 using Command = std::variant<PutConfiguration, AcceptJob, CancelJob, OpenOccurrences, PlaceRuns,
                              RecordEnds, ReleaseRuns, RegisterWorker, RemoveWorker, ForgetJobs,
-                             StartWave, RemoveFromWave, PutMember>;
+                             StartWave, RemoveFromWave, PutMember, RestartWorker>;
 
 /// Payload of one log entry.
 struct CommandBatch {
--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -59,6 +59,10 @@
   /// clock.
   void onWorkerReport(const WorkerReport &report, base::TimePoint now);
 
+  /// Called for a report that claims another life or address of a known worker. The worker is asked
+  /// at once; only its own answer counts.
+  void onWorkerClaim(const WorkerProfile &claimed, base::TimePoint now);
+
   /// Called when a worker shuts down; its tasks end with it.
   void onWorkerLeaving(const std::string &worker, base::TimePoint now);
 
--- a/packages/jobs/include/banyanrill/jobs/Table.h
+++ b/packages/jobs/include/banyanrill/jobs/Table.h
@@ -28,6 +28,13 @@
   std::vector<std::string> endedJobs;
 };
 
+enum class ReportMeaning : std::uint8_t {
+  Known,    ///< The recorded profile.
+  News,     ///< A new worker, or a change of a known one: to be recorded.
+  Claim,    ///< Another life or place of a known worker: the worker itself has to confirm it.
+  Unusable, ///< Names a service that no configuration names; may be used once one does.
+};
+
 /// Deterministic. Not thread-safe: owned by one task.
 class Table {
 public:
@@ -45,6 +52,9 @@
   const Job *findJob(const std::string &id) const;
   const Worker *findWorker(const std::string &id) const;
 
+  /// What a worker's report means for this table.
+  ReportMeaning meaningOf(const WorkerProfile &profile) const;
+
   /// Whether all steps that this one waits for have succeeded.
   static bool isReady(const Job &job, const Occurrence &occurrence, std::uint32_t step);
 
@@ -62,6 +72,7 @@
   void applyOne(const StartWave &command, Effect &effect);
   void applyOne(const RemoveFromWave &command, Effect &effect);
   void applyOne(const PutMember &command, Effect &effect);
+  void applyOne(const RestartWorker &command, Effect &effect);
 
   void release(Worker &worker, const RunKey &run, const std::string &checkpoint, Effect &effect);
   void releaseAll(Worker &worker, const std::vector<ReleasedRun> &lastCheckpoints, Effect &effect);
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -18,6 +18,9 @@
 /// Added for each open step, so that a long queue does not use up a whole processor.
 constexpr base::Duration PlanIntervalPerStep = std::chrono::microseconds(25);
 
+/// Reports that contradict each other cause at most one extra call to a worker in this time.
+constexpr base::Duration DoubtInterval = std::chrono::milliseconds(250);
+
 /// Maximum number of ended jobs that one command removes.
 constexpr std::size_t MaxForgotten = 64;
 
@@ -166,6 +169,23 @@
   this->dirtyWorkers.insert(id);
 }
 
+void Dispatcher::State::doubtOthersAt(const WorkerProfile &newcomer) {
+  for (auto &[id, session] : this->sessions) {
+    if (id != newcomer.incarnation.id && session.worker != nullptr &&
+        session.worker->profile.address == newcomer.address)
+      this->doubt(id, session);
+  }
+}
+
+void Dispatcher::State::doubt(const std::string &id, WorkerSession &session) {
+  if (this->now < session.nextDoubt)
+    return;
+  session.nextDoubt = this->now + DoubtInterval;
+  session.isDoubted = true;
+  session.nextRenewal = this->now;
+  this->dirtyWorkers.insert(id);
+}
+
 void Dispatcher::State::removeSession(const std::string &id) {
   const auto found = this->sessions.find(id);
   if (found == this->sessions.end())
@@ -250,8 +270,12 @@
         dispatcher.examineGang(run.run.task);
     }
   }
-  for (const std::string &worker : effect.changedWorkers)
+  for (const std::string &worker : effect.changedWorkers) {
+    const bool isKnown = dispatcher.sessions.count(worker) != 0;
     dispatcher.refreshWorker(worker);
+    if (const Worker *newcomer = dispatcher.table.findWorker(worker); newcomer && !isKnown)
+      dispatcher.doubtOthersAt(newcomer->profile);
+  }
   for (const PlacedRun &placed : effect.placed) {
     const PendingRun *pending = dispatcher.findPending(placed.run.task);
     const auto session = dispatcher.sessions.find(placed.worker);
@@ -304,6 +328,15 @@
   this->state->dirtyWorkers.insert(report.profile.incarnation.id);
 }
 
+void Dispatcher::onWorkerClaim(const WorkerProfile &claimed, base::TimePoint now) {
+  this->state->now = now;
+  const auto found = this->state->sessions.find(claimed.incarnation.id);
+  if (found == this->state->sessions.end())
+    return;
+  found->second.claimed = claimed;
+  this->state->doubt(found->first, found->second);
+}
+
 void Dispatcher::onWorkerLeaving(const std::string &worker, base::TimePoint now) {
   this->state->now = now;
   const auto found = this->state->sessions.find(worker);
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -24,6 +24,7 @@
 struct OrderSubject {
   WorkerIncarnation worker;
   RunKey run;
+  base::TimePoint sentAt = base::TimePoint::min();
 };
 
 /// Number of gang members that a worker is expected to have room for from `at` on.
@@ -80,6 +81,9 @@
   // Workers.
   void refreshWorker(const std::string &id);
   void removeSession(const std::string &id);
+  /// Asks the other workers at the address of a new one whether they still live.
+  void doubtOthersAt(const WorkerProfile &newcomer);
+  void doubt(const std::string &id, WorkerSession &session);
   WorkerNumber takeNumber(WorkerSession &session);
   std::optional<WorkerNumber> numberOf(const std::string &worker) const;
   void examineLater(const std::string &worker, const TaskKey &task);
@@ -105,7 +109,9 @@
   /// without a subject.
   std::pair<const Worker *, WorkerSession *>
   recordAnswer(const std::optional<OrderSubject> &subject, const OrderAnswer &answer);
-  void reconcileRuns(const Worker &worker, WorkerSession &session, const RenewLeaseAnswer &answer);
+  void reconcileRuns(const Worker &worker, WorkerSession &session, const RenewLeaseAnswer &answer,
+                     base::TimePoint sentAt);
+  void proposeRestart(const Worker &worker, const WorkerSession &session, std::int64_t startTimeMs);
 
   // Placement.
   void plan();
--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -16,6 +16,12 @@
   return task.index < progress.tasks.size() ? &progress : nullptr;
 }
 
+/// Whether both are of one life of a worker; its address and service never change in it.
+bool isSameLife(const WorkerProfile &one, const WorkerProfile &other) {
+  return one.incarnation == other.incarnation && one.address == other.address &&
+         one.service == other.service;
+}
+
 std::uint32_t occurrencesOf(const JobSpec &spec) { return std::max(spec.repeatCount, 1U); }
 
 } // namespace
@@ -282,39 +288,49 @@
   }
 }
 
+ReportMeaning Table::meaningOf(const WorkerProfile &profile) const {
+  const Worker *known = this->findWorker(profile.incarnation.id);
+  if (known != nullptr && isSameLife(known->profile, profile))
+    return known->profile == profile ? ReportMeaning::Known : ReportMeaning::News;
+  const std::optional<Configuration> &configuration = this->content.configuration;
+  if (configuration && std::find(configuration->services.begin(), configuration->services.end(),
+                                 profile.service) == configuration->services.end())
+    return ReportMeaning::Unusable;
+  return known == nullptr ? ReportMeaning::News : ReportMeaning::Claim;
+}
+
 void Table::applyOne(const RegisterWorker &command, Effect &effect) {
   const WorkerProfile &profile = command.profile;
-  // A late report of a worker whose successor has registered at its address changes nothing.
-  for (const auto &[id, other] : this->content.workers) {
-    if (id != profile.incarnation.id && other.profile.address == profile.address &&
-        other.profile.incarnation.startTimeMs > profile.incarnation.startTimeMs)
-      return;
-  }
-  const auto existing = this->content.workers.find(profile.incarnation.id);
-  if (existing != this->content.workers.end() &&
-      existing->second.profile.incarnation.startTimeMs > profile.incarnation.startTimeMs)
+  const std::string &id = profile.incarnation.id;
+  const auto existing = this->content.workers.find(id);
+  const bool isKnown = existing != this->content.workers.end();
+  if (isKnown && !isSameLife(existing->second.profile, profile))
     return;
-  std::vector<std::string> replaced;
-  for (const auto &[id, other] : this->content.workers) {
-    if (id != profile.incarnation.id && other.profile.address == profile.address)
-      replaced.push_back(id);
-  }
-  for (const std::string &id : replaced) {
-    this->releaseAll(this->content.workers.at(id), {}, effect);
-    this->content.workers.erase(id);
-    effect.changedWorkers.insert(id);
+  // A late report of a worker whose successor has registered at its address adds no worker. Whether
+  // the other worker at an address still lives, it says itself: its runs stay placed.
+  for (const auto &[other, worker] : this->content.workers) {
+    if (!isKnown && worker.profile.address == profile.address &&
+        worker.profile.incarnation.startTimeMs > profile.incarnation.startTimeMs)
+      return;
   }
-  Worker &worker = this->content.workers[profile.incarnation.id];
+  Worker &worker = this->content.workers[id];
   // A worker that drains never becomes ready again in the same life; a report that says so is late.
-  const bool drains = worker.profile.incarnation == profile.incarnation && worker.profile.draining;
-  if (worker.profile.incarnation != profile.incarnation) {
-    worker.recordedEnds = 0;
-    for (auto &[task, placement] : worker.placements)
-      placement.previousIncarnation = true;
-  }
+  const bool drains = worker.profile.draining;
   worker.profile = profile;
   worker.profile.draining = profile.draining || drains;
-  effect.changedWorkers.insert(profile.incarnation.id);
+  effect.changedWorkers.insert(id);
+}
+
+void Table::applyOne(const RestartWorker &command, Effect &effect) {
+  const auto found = this->content.workers.find(command.former.id);
+  if (found == this->content.workers.end() || found->second.profile.incarnation != command.former)
+    return;
+  Worker &worker = found->second;
+  worker.profile = command.profile;
+  worker.recordedEnds = 0;
+  for (auto &[task, placement] : worker.placements)
+    placement.previousIncarnation = true;
+  effect.changedWorkers.insert(command.former.id);
 }
 
 void Table::applyOne(const RemoveWorker &command, Effect &effect) {
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -101,11 +101,11 @@
   if (!session.renewalUnanswered)
     order.leaseUntilMs =
         session.extendLease(this->options.lease, this->options.stopGrace, this->now);
-  if (session.hasAnswered && !session.renewalUnanswered)
+  if (session.hasAnswered && !session.renewalUnanswered && !session.isDoubted)
     order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(RenewalWait).count();
-  this->orders.emplace(order.id, OrderSubject{session.incarnation, {}});
+  this->orders.emplace(order.id, OrderSubject{session.incarnation, {}, this->now});
   session.renewalInFlight = true;
-  session.renewalSentAt = this->now;
+  session.isDoubted = false;
   ++this->counters.renewals;
   this->actions.emplace_back(std::move(order));
 }
@@ -133,7 +133,7 @@
   session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.starts;
-  this->orders.emplace(order.id, OrderSubject{session.incarnation, run});
+  this->orders.emplace(order.id, OrderSubject{session.incarnation, run, this->now});
   this->actions.emplace_back(std::move(order));
 }
 
@@ -145,7 +145,7 @@
   session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.stops;
-  this->orders.emplace(order.id, OrderSubject{session.incarnation, run});
+  this->orders.emplace(order.id, OrderSubject{session.incarnation, run, this->now});
   this->actions.emplace_back(std::move(order));
 }
 
@@ -200,7 +200,8 @@
     return;
   }
   this->advanceRuns(worker, session);
-  if (!session.renewalInFlight && !session.endsProposed && this->now >= session.nextRenewal)
+  const bool mayAsk = !session.renewalInFlight || session.isDoubted;
+  if (mayAsk && !session.endsProposed && this->now >= session.nextRenewal)
     this->sendRenewLease(worker, session);
 }
 
@@ -355,7 +356,7 @@
 }
 
 void Dispatcher::State::reconcileRuns(const Worker &worker, WorkerSession &session,
-                                      const RenewLeaseAnswer &answer) {
+                                      const RenewLeaseAnswer &answer, base::TimePoint sentAt) {
   std::map<RunKey, const RunningTask *> running;
   for (const RunningTask &task : answer.running)
     running.emplace(task.run, &task);
@@ -388,8 +389,7 @@
       continue;
     // The worker has seen this leader's fencing token, so it rejects orders of earlier leaders.
     const bool barred = placement.term < this->options.term && !placement.previousIncarnation;
-    const bool settled =
-        (view.startAnswered || view.stopAnswered) && session.renewalSentAt > view.answeredAt;
+    const bool settled = (view.startAnswered || view.stopAnswered) && sentAt > view.answeredAt;
     if (barred || settled)
       this->release(session, run, view);
   }
@@ -400,6 +400,23 @@
   }
 }
 
+void Dispatcher::State::proposeRestart(const Worker &worker, const WorkerSession &session,
+                                       std::int64_t startTimeMs) {
+  RestartWorker command{session.incarnation, worker.profile};
+  const bool isClaimed = session.claimed &&
+                         session.claimed->incarnation.startTimeMs == startTimeMs &&
+                         session.claimed->address == worker.profile.address;
+  if (isClaimed) {
+    command.profile = *session.claimed;
+  } else {
+    // The new life may be of another kind; its own report says what it can run.
+    command.profile.incarnation.startTimeMs = startTimeMs;
+    command.profile.capacity = {};
+    command.profile.draining = false;
+  }
+  this->actions.emplace_back(Command(std::move(command)));
+}
+
 void Dispatcher::onRenewLeaseAnswer(OrderId order, const RenewLeaseAnswer &answer,
                                     base::TimePoint now) {
   State &dispatcher = *this->state;
@@ -425,9 +442,7 @@
   }
   if (answer.startTimeMs && session->incarnation.startTimeMs != 0 &&
       *answer.startTimeMs != session->incarnation.startTimeMs) {
-    WorkerProfile profile = worker->profile;
-    profile.incarnation.startTimeMs = *answer.startTimeMs;
-    dispatcher.actions.emplace_back(Command(RegisterWorker{std::move(profile)}));
+    dispatcher.proposeRestart(*worker, *session, *answer.startTimeMs);
     session->nextRenewal = now + RetryPause;
     return;
   }
@@ -440,7 +455,7 @@
   session->recordAnswered(now);
   session->lastAnswer = now;
   session->readClock(answer.clockMs, now);
-  dispatcher.reconcileRuns(*worker, *session, answer);
+  dispatcher.reconcileRuns(*worker, *session, answer, subject->sentAt);
   RecordEnds command{session->incarnation, {}};
   for (const TaskEnd &end : answer.ended) {
     if (end.number > worker->recordedEnds)
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -90,7 +90,10 @@
   std::optional<ClockReading> clock;
   bool renewalInFlight = false;
   bool renewalUnanswered = false; ///< The last hold was not answered.
-  base::TimePoint renewalSentAt = base::TimePoint::min();
+  /// A report casts doubt on this life: it is asked at once, beside a renewal that waits.
+  bool isDoubted = false;
+  base::TimePoint nextDoubt = base::TimePoint::min(); ///< Earlier doubts are not followed.
+  std::optional<WorkerProfile> claimed; ///< The last report of another life under this id.
   base::TimePoint nextRenewal = base::TimePoint::min();
   base::TimePoint lastAnswer;
   base::TimePoint leaseEndsBy; ///< From then on nothing runs there, on any clock.
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -163,12 +163,25 @@
   FakeWorker &target = *this->workers.at(worker);
   if (!target.alive || this->links[worker].cut)
     return;
-  WorkerReport report{target.profile, target.clockMs(this->nowMs), 0};
-  const Worker *known = this->table.findWorker(target.profile.incarnation.id);
-  if (known == nullptr || known->profile != target.profile)
-    this->log.emplace_back(this->nowMs + CommitMs, RegisterWorker{target.profile});
-  else
+  this->deliver({target.profile, target.clockMs(this->nowMs), 0});
+}
+
+void FakeCell::reportFrom(const WorkerProfile &profile) { this->deliver({profile, 0, 0}); }
+
+void FakeCell::deliver(const WorkerReport &report) {
+  switch (this->table.meaningOf(report.profile)) {
+  case ReportMeaning::News:
+    this->log.emplace_back(this->nowMs + CommitMs, RegisterWorker{report.profile});
+    return;
+  case ReportMeaning::Known:
     this->timed([&] { this->dispatcher->onWorkerReport(report, this->clock()); });
+    return;
+  case ReportMeaning::Claim:
+    this->timed([&] { this->dispatcher->onWorkerClaim(report.profile, this->clock()); });
+    return;
+  case ReportMeaning::Unusable:
+    return;
+  }
 }
 
 void FakeCell::commitDueCommands() {
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -40,6 +40,8 @@
   void restart(std::size_t worker, bool sameId);
   void drain(std::size_t worker);
   void heal();
+  /// Delivers a report of another writer.
+  void reportFrom(const WorkerProfile &profile);
   /// Sends the worker's report immediately instead of at the next interval.
   void reportNow(std::size_t worker) { this->report(worker); }
 
@@ -85,6 +87,7 @@
   void call(const Order &order, Carry carry, Report report, std::int64_t timeoutMs);
   FakeWorker *find(const OrderTarget &target, Link *&link);
   void report(std::size_t worker);
+  void deliver(const WorkerReport &report);
   void onStarted(const std::string &worker, const RunKey &run);
   void onEnded(const std::string &worker, const RunKey &run, EndKind how);
   void checkCapacity(const std::string &worker);
--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -132,6 +132,68 @@
   CHECK(this->cell.table.findWorker("new") != nullptr);
 }
 
+/// Another writer's report at the address of a worker counted as proof that the worker had crashed:
+/// its runs were placed again while they ran.
+TEST(Table, ReportAtTheAddressOfAnotherWorkerReleasesNothing) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  this->cell.apply(RegisterWorker{profileOf("other", "10.0.0.1:80", 50)});
+  CHECK(this->cell.table.findWorker("w") != nullptr);
+  CHECK_EQUAL(1U, this->cell.table.findWorker("w")->placements.size());
+  CHECK(this->cell.table.findJob("job")->occurrences.at(0).steps[0].tasks[0].phase ==
+        TaskPhase::Placed);
+}
+
+TEST(Table, ReportOfAnotherLifeUnderAKnownIdChangesNothing) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.place({{"job", 0, 0, 0}, 1});
+  const Worker before = *this->cell.table.findWorker("w");
+  for (const std::int64_t startTimeMs : {0, 2}) {
+    this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", startTimeMs)});
+    CHECK(*this->cell.table.findWorker("w") == before);
+  }
+  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.9:80", 1)});
+  CHECK(*this->cell.table.findWorker("w") == before);
+}
+
+/// The answer of the worker counts even if an earlier start is told: the later one was never its
+/// own.
+TEST(Table, RestartOfAFormerLifeChangesNothingTwice) {
+  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 9)});
+  this->cell.apply(RestartWorker{{"w", 9}, profileOf("w", "10.0.0.1:80", 5)});
+  CHECK_EQUAL(5, this->cell.table.findWorker("w")->profile.incarnation.startTimeMs);
+  this->cell.apply(RestartWorker{{"w", 9}, profileOf("w", "10.0.0.1:80", 7)});
+  CHECK_EQUAL(5, this->cell.table.findWorker("w")->profile.incarnation.startTimeMs);
+}
+
+TEST(Table, ReportOfAServiceWithoutConfigurationIsUsedOnceItIsNamed) {
+  WorkerProfile profile = profileOf("w", "10.0.0.1:80", 1);
+  profile.service = "other";
+  CHECK(this->cell.table.meaningOf(profile) == ReportMeaning::News);
+  this->cell.apply(PutConfiguration{configurationOf(1, "/q/")});
+  CHECK(this->cell.table.meaningOf(profile) == ReportMeaning::Unusable);
+  Configuration next = configurationOf(2, "/q/");
+  next.services.push_back("other");
+  this->cell.apply(PutConfiguration{next});
+  CHECK(this->cell.table.meaningOf(profile) == ReportMeaning::News);
+  this->cell.apply(RegisterWorker{profile});
+  // A known worker may still say that it leaves when its service is no longer named.
+  this->cell.apply(PutConfiguration{configurationOf(3, "/q/")});
+  profile.draining = true;
+  CHECK(this->cell.table.meaningOf(profile) == ReportMeaning::News);
+}
+
+/// A later report of another writer at the same address hid the drain of the worker.
+TEST(Table, DrainCountsBesideALaterReportAtTheAddress) {
+  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 1)});
+  this->cell.apply(RegisterWorker{profileOf("other", "10.0.0.1:80", 50)});
+  WorkerProfile profile = profileOf("w", "10.0.0.1:80", 1);
+  profile.draining = true;
+  this->cell.apply(RegisterWorker{profile});
+  CHECK(this->cell.table.findWorker("w") != nullptr);
+  CHECK(this->cell.table.findWorker("w")->profile.draining);
+}
+
 /// A daemon that waited for a leader forwarded an old report late, which made a draining worker
 /// ready again.
 TEST(Table, LateReportDoesNotEndADrain) {
@@ -140,14 +202,14 @@
   this->cell.apply(RegisterWorker{profile});
   this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 1)});
   CHECK(this->cell.table.findWorker("w")->profile.draining);
-  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 2)});
+  this->cell.apply(RestartWorker{{"w", 1}, profileOf("w", "10.0.0.1:80", 2)});
   CHECK(!this->cell.table.findWorker("w")->profile.draining);
 }
 
 TEST(Table, RunsOfAnEarlierIncarnationStayPlacedUntilReleased) {
   this->cell.accept(makeJob("job", 1, 100, 100));
   this->cell.place({{"job", 0, 0, 0}, 1});
-  this->cell.apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 2)});
+  this->cell.apply(RestartWorker{{"w", 1}, profileOf("w", "10.0.0.1:80", 2)});
   CHECK(this->cell.table.findWorker("w")->placements.begin()->second.previousIncarnation);
   CHECK_EQUAL(0U, this->cell.table.findWorker("w")->recordedEnds);
   // An end that the new incarnation reports for the same run number does not end this run.
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -21,6 +21,17 @@
   return reply;
 }
 
+/// The reason in the answer keeps daemons from taking later reports for acknowledged.
+jobs::Reply ignoredReport(const jobs::WorkerProfile &profile, const std::string &reason) {
+  base::logEvent(base::Event::WorkerReportIgnored,
+                 {{"worker", profile.incarnation.id},
+                  {"born", std::to_string(profile.incarnation.startTimeMs)},
+                  {"service", profile.service},
+                  {"address", profile.address},
+                  {"reason", reason}});
+  return replyOf(jobs::ReplyCode::Done, reason);
+}
+
 jobs::Reply inDoubt() { return replyOf(jobs::ReplyCode::InDoubt, "the leader lost leadership"); }
 
 } // namespace
@@ -139,12 +150,22 @@
 
 void Node::State::answerTyped(const jobs::WorkerReport &request, ReplyTo reply) {
   const jobs::Reply accepted;
-  const jobs::Worker *worker = this->group->table().findWorker(request.profile.incarnation.id);
-  if (worker != nullptr && worker->profile == request.profile) {
+  switch (this->group->table().meaningOf(request.profile)) {
+  case jobs::ReportMeaning::News:
+    break;
+  case jobs::ReportMeaning::Known:
     if (this->dispatcher)
       this->dispatcher->onWorkerReport(request, this->now);
     reply(accepted);
     return;
+  case jobs::ReportMeaning::Claim:
+    if (this->dispatcher)
+      this->dispatcher->onWorkerClaim(request.profile, this->now);
+    reply(ignoredReport(request.profile, "the worker has to confirm another life or address"));
+    return;
+  case jobs::ReportMeaning::Unusable:
+    reply(ignoredReport(request.profile, "no configuration names the service"));
+    return;
   }
   this->group->propose(
       jobs::RegisterWorker{request.profile},
@@ -250,6 +271,11 @@
                      {{"worker", registered->profile.incarnation.id},
                       {"born", std::to_string(registered->profile.incarnation.startTimeMs)},
                       {"draining", registered->profile.draining ? "true" : "false"}});
+    } else if (const auto *restarted = std::get_if<jobs::RestartWorker>(&command)) {
+      base::logEvent(base::Event::WorkerRestarted,
+                     {{"worker", restarted->former.id},
+                      {"born", std::to_string(restarted->profile.incarnation.startTimeMs)},
+                      {"former_born", std::to_string(restarted->former.startTimeMs)}});
     } else if (const auto *removed = std::get_if<jobs::RemoveWorker>(&command)) {
       base::logEvent(base::Event::WorkerRemoved, {{"worker", removed->worker.id}});
     } else if (const auto *released = std::get_if<jobs::ReleaseRuns>(&command)) {
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -98,7 +98,7 @@
 
 void Node::State::rememberReport(const jobs::Request &request, const jobs::Reply &reply) {
   const auto *report = std::get_if<jobs::WorkerReport>(&request);
-  if (report == nullptr || reply.code != jobs::ReplyCode::Done)
+  if (report == nullptr || reply.code != jobs::ReplyCode::Done || !reply.message.empty())
     return;
   if (this->reports.size() >= MaxReports)
     this->reports.clear();
--- a/packages/wire/src/JobFields.h
+++ b/packages/wire/src/JobFields.h
@@ -54,6 +54,7 @@
 BANYANRILL_FIELDS(StartWave, v.wave)
 BANYANRILL_FIELDS(RemoveFromWave, v.wave, v.machine)
 BANYANRILL_FIELDS(PutMember, v.member)
+BANYANRILL_FIELDS(RestartWorker, v.former, v.profile)
 BANYANRILL_FIELDS(CommandBatch, v.logTimeMs, v.commands)
 
 BANYANRILL_FIELDS(SubmitRequest, v.host, v.path, v.spec)
