Give no orders to a worker whose removal waits for its commit

What callers could see: a task that runs twice, if a worker carries out a start between the proposal of its removal and the commit, which releases the run. Cause: removeWorker only proposed; renewals and starts went on until the commit, some milliseconds later or longer when the disks are slow. Ruled out: starts that were in flight before; they carry the fence and the lease of a life that has ended, by 421 or by its clock. Change: from the proposal on the worker gets no orders and no new tasks; a lost proposal is repeated after the time of silence, as before. Evidence: StopAnswer.WorkerThatIsBeingRemovedGetsNoMoreOrders fails with the two checks taken out and passes with them.

--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -132,7 +132,8 @@
   const Step &step = *open.step;
   const WorkerProfile &profile = session.worker->profile;
   if (profile.service != open.job->queue.service || profile.draining || session.leaving ||
-      !session.hasAnswered || session.renewalUnanswered || !session.clock)
+      !session.hasAnswered || session.renewalUnanswered || !session.clock ||
+      session.removalProposedAt)
     return false;
   if (!step.requiredLabel.empty() && !hasLabel(profile, step.requiredLabel))
     return false;
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -78,6 +78,9 @@
 }
 
 void Dispatcher::State::removeWorker(const Worker &worker, WorkerSession &session) {
+  if (session.removalProposedAt && this->now - *session.removalProposedAt < IdleSilence)
+    return;
+  session.removalProposedAt = this->now;
   RemoveWorker command{worker.profile.incarnation, {}};
   for (const auto &[task, placement] : worker.placements) {
     const auto view = session.runs.find(task);
@@ -86,8 +89,6 @@
           {{task, placement.run}, worker.profile.incarnation.id, view->second.checkpoint});
   }
   ++this->counters.workersRemoved;
-  session.lastAnswer = this->now; // Delays a repeated proposal.
-  session.leaseEndsBy = std::max(session.leaseEndsBy, this->now + IdleSilence);
   this->actions.emplace_back(Command(std::move(command)));
 }
 
@@ -190,6 +191,9 @@
 }
 
 void Dispatcher::State::advanceWorker(const Worker &worker, WorkerSession &session) {
+  // What it started now would be released when the removal is committed.
+  if (session.removalProposedAt && this->now - *session.removalProposedAt < IdleSilence)
+    return;
   const bool silent = session.renewalUnanswered || !session.hasAnswered;
   if (silent && this->now >= session.leaseEndsBy) {
     this->removeWorker(worker, session);
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -94,6 +94,7 @@
   bool isDoubted = false;
   base::TimePoint nextDoubt = base::TimePoint::min(); ///< Earlier doubts are not followed.
   std::optional<WorkerProfile> claimed; ///< The last report of another life under this id.
+  std::optional<base::TimePoint> removalProposedAt;
   base::TimePoint nextRenewal = base::TimePoint::min();
   base::TimePoint lastAnswer;
   base::TimePoint leaseEndsBy; ///< From then on nothing runs there, on any clock.
--- a/packages/jobs/tests/StopAnswerTest.cpp
+++ b/packages/jobs/tests/StopAnswerTest.cpp
@@ -101,6 +101,29 @@
   CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.count(unknownRun.task));
 }
 
+/// A removal takes effect when it is committed; a start that the worker carried out before that was
+/// released while it ran.
+TEST(StopAnswer, WorkerThatIsBeingRemovedGetsNoMoreOrders) {
+  ManualCell cell;
+  std::vector<Action> orders = cell.step(10);
+  const RenewLeaseOrder *hold = cell.find<RenewLeaseOrder>(orders);
+  CHECK(hold != nullptr);
+  cell.dispatcher->onRenewLeaseAnswer(hold->id, {OrderOutcome::Accepted, 1000, 7, {}, {}},
+                                      cell.now);
+  cell.step(10); // Places the task.
+  orders = cell.step(10);
+  const StartOrder *start = cell.find<StartOrder>(orders);
+  CHECK(start != nullptr);
+  // Another program answers at the address; the next answers say that the worker is back.
+  cell.dispatcher->onStartAnswer(start->id, {OrderOutcome::OtherIncarnation, {}}, cell.now);
+  for (int round = 0; round < 20; ++round) {
+    cell.now += std::chrono::milliseconds(20);
+    // Nothing is committed meanwhile.
+    for (const Action &action : cell.dispatcher->takeActions(cell.now, EpochMs))
+      CHECK(std::holds_alternative<Command>(action));
+  }
+}
+
 /// The end of a stopped stray run erased what was known of a newer run of the task at the same
 /// worker, which then counted as started by an earlier leader and was never ordered.
 TEST(StopAnswer, EndOfAnEarlierRunLeavesANewerRunToBeStarted) {
