Name each order by its term and number

Cause: orders were numbered from 1 in each term and answers matched by number alone, while calls outlive the term. Answers of the former term were taken for answers to orders of the present one, and the runs that their lists lacked were released. Ruled out: fencing, the commit of placements, relayed orders (their batches carry the term), the numbers of proposals, reads, calls and exchanges, which are never used again. Change: OrderId is a type of term and number, used for starts, stops, renewals, pace orders, advice and relayed orders. Each session of a worker has a serial number, which an answer must meet: an answer of the time before a removal took the count of open calls below zero. Calls to relays are counted apart from the queues of a term. Test changed: FakeCell dropped the answers of a former leader and so hid the fault; it delivers them now, as the daemon does.

--- a/packages/jobs/include/banyanrill/jobs/Orders.h
+++ b/packages/jobs/include/banyanrill/jobs/Orders.h
@@ -4,12 +4,21 @@
 #include "banyanrill/base/Identifier.h"
 #include "banyanrill/jobs/Command.h"
 
+#include <compare>
+#include <functional>
 #include <variant>
 
 namespace banyanrill::jobs {
 
-/// Correlates an answer with its order. Never reused by one dispatcher.
-using OrderId = std::uint64_t;
+/// Correlates an answer with its order. Never reused: calls outlive the term in which they were
+/// made, and a daemon may lead again before their answers come.
+struct OrderId {
+  std::uint64_t term = 0;   ///< Of the leader that gave the order.
+  std::uint64_t number = 0; ///< Within the term.
+
+  auto operator<=>(const OrderId &) const = default;
+  bool operator==(const OrderId &) const = default;
+};
 
 /// The worker that an order is meant for, and the fencing token of the leader that sends it.
 struct OrderTarget {
@@ -21,7 +30,7 @@
 };
 
 struct StartOrder {
-  OrderId id = 0;
+  OrderId id;
   OrderTarget target;
   RunKey run;
   std::string taskSpec;
@@ -33,7 +42,7 @@
 };
 
 struct StopOrder {
-  OrderId id = 0;
+  OrderId id;
   OrderTarget target;
   RunKey run;
 
@@ -42,7 +51,7 @@
 
 /// Renews the lease of all tasks on a worker and asks for its running and ended tasks.
 struct RenewLeaseOrder {
-  OrderId id = 0;
+  OrderId id;
   OrderTarget target;
   std::optional<std::int64_t> leaseUntilMs; ///< On the worker's clock.
   std::uint64_t recordedEnds = 0;
@@ -53,7 +62,7 @@
 
 /// Limits the share of its processors that a running task may use.
 struct ThrottleOrder {
-  OrderId id = 0;
+  OrderId id;
   OrderTarget target;
   RunKey run;
   std::uint32_t percent = 100;
@@ -63,7 +72,7 @@
 
 /// Asks the advisory service, through one daemon, which of these workers may run a step.
 struct AdviceOrder {
-  OrderId id = 0;
+  OrderId id;
   base::DaemonId daemon = base::NoDaemon;
   StepKey step;
   std::vector<std::string> workers;
@@ -130,3 +139,10 @@
     std::variant<StartOrder, StopOrder, RenewLeaseOrder, ThrottleOrder, AdviceOrder, Command>;
 
 } // namespace banyanrill::jobs
+
+/// The number alone spreads well: orders of two terms rarely meet in one table.
+template <> struct std::hash<banyanrill::jobs::OrderId> {
+  std::size_t operator()(const banyanrill::jobs::OrderId &id) const noexcept {
+    return std::hash<std::uint64_t>()(id.number);
+  }
+};
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -155,6 +155,7 @@
       this->adviceTracker.forgetWorker(number);
     session = WorkerSession();
     session.number = number;
+    session.serial = ++this->lastSession;
     session.proposed = this->proposedOn(id);
     session.incarnation = worker->profile.incarnation;
     session.slowness = this->speeds.slowness(id);
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -20,9 +20,10 @@
   base::TimePoint ticketUntil = base::TimePoint::max();
 };
 
-/// The worker and run that an order concerns.
+/// The session and run that an order concerns.
 struct OrderSubject {
-  WorkerIncarnation worker;
+  std::string worker;
+  std::uint64_t session = 0;
   RunKey run;
   base::TimePoint sentAt = base::TimePoint::min();
 };
@@ -58,7 +59,8 @@
   std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
   std::map<StepKey, std::uint32_t> abandonedGangs; ///< Runs of gangs that did not start together.
-  OrderId lastOrder = 0;
+  std::uint64_t lastOrder = 0;
+  std::uint64_t lastSession = 0;
   bool planNeeded = true;
   base::TimePoint nextPlan = base::TimePoint::min();
   base::TimePoint nextGangRound = base::TimePoint::min();
@@ -102,9 +104,12 @@
   void release(WorkerSession &session, const RunKey &run, RunStatus &view);
   void removeWorker(const Worker &worker, WorkerSession &session);
   OrderTarget targetOf(const Worker &worker) const;
-  /// Returns worker and session if both still have the given incarnation, else nulls.
-  std::pair<const Worker *, WorkerSession *> find(const WorkerIncarnation &incarnation);
-  std::optional<OrderSubject> takeOrder(OrderId id);
+  /// Returns worker and session if the order's session still lives, else nulls.
+  std::pair<const Worker *, WorkerSession *> find(const OrderSubject &subject);
+  OrderId nextOrder() { return {this->options.term, ++this->lastOrder}; }
+  /// Remembers what an order is about until its answer comes.
+  void expectAnswer(const OrderId &id, const WorkerSession &session, const RunKey &run);
+  std::optional<OrderSubject> takeOrder(const OrderId &id);
   /// Handles what all answers to starts and stops have in common. Returns as `find`; nulls
   /// without a subject.
   std::pair<const Worker *, WorkerSession *>
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -419,7 +419,7 @@
 void Dispatcher::State::ask(const OpenStep &open, std::vector<std::string> workers) {
   ++this->counters.adviceCalls;
   this->actions.emplace_back(
-      this->adviceTracker.ask(++this->lastOrder, open, std::move(workers), this->now));
+      this->adviceTracker.ask(this->nextOrder(), open, std::move(workers), this->now));
 }
 
 void Dispatcher::State::planTasks(const OpenStep &open,
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -49,17 +49,21 @@
   return {worker.profile.incarnation.id, worker.profile.address, this->options.term};
 }
 
-std::pair<const Worker *, WorkerSession *>
-Dispatcher::State::find(const WorkerIncarnation &incarnation) {
-  const Worker *worker = this->table.findWorker(incarnation.id);
-  const auto session = this->sessions.find(incarnation.id);
+std::pair<const Worker *, WorkerSession *> Dispatcher::State::find(const OrderSubject &subject) {
+  const Worker *worker = this->table.findWorker(subject.worker);
+  const auto session = this->sessions.find(subject.worker);
   if (worker == nullptr || session == this->sessions.end() ||
-      session->second.incarnation != incarnation || worker->profile.incarnation != incarnation)
+      session->second.serial != subject.session)
     return {nullptr, nullptr};
   return {worker, &session->second};
 }
 
-std::optional<OrderSubject> Dispatcher::State::takeOrder(OrderId id) {
+void Dispatcher::State::expectAnswer(const OrderId &id, const WorkerSession &session,
+                                     const RunKey &run) {
+  this->orders.emplace(id, OrderSubject{session.incarnation.id, session.serial, run, this->now});
+}
+
+std::optional<OrderSubject> Dispatcher::State::takeOrder(const OrderId &id) {
   const auto found = this->orders.find(id);
   if (found == this->orders.end())
     return std::nullopt;
@@ -94,7 +98,7 @@
 
 void Dispatcher::State::sendRenewLease(const Worker &worker, WorkerSession &session) {
   RenewLeaseOrder order;
-  order.id = ++this->lastOrder;
+  order.id = this->nextOrder();
   order.target = this->targetOf(worker);
   order.recordedEnds = worker.recordedEnds;
   // A worker that does not answer is only polled: each lease that it may have received would delay
@@ -104,7 +108,7 @@
         session.extendLease(this->options.lease, this->options.stopGrace, this->now);
   if (session.hasAnswered && !session.renewalUnanswered && !session.isDoubted)
     order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(RenewalWait).count();
-  this->orders.emplace(order.id, OrderSubject{session.incarnation, {}, this->now});
+  this->expectAnswer(order.id, session, {});
   session.renewalInFlight = true;
   session.isDoubted = false;
   ++this->counters.renewals;
@@ -119,7 +123,7 @@
   if (!lease || job == nullptr)
     return;
   StartOrder order;
-  order.id = ++this->lastOrder;
+  order.id = this->nextOrder();
   order.target = this->targetOf(worker);
   order.run = run;
   order.taskSpec = job->spec.taskSpec;
@@ -134,19 +138,19 @@
   session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.starts;
-  this->orders.emplace(order.id, OrderSubject{session.incarnation, run, this->now});
+  this->expectAnswer(order.id, session, run);
   this->actions.emplace_back(std::move(order));
 }
 
 void Dispatcher::State::sendStop(const Worker &worker, WorkerSession &session, const RunKey &run) {
   StopOrder order;
-  order.id = ++this->lastOrder;
+  order.id = this->nextOrder();
   order.target = this->targetOf(worker);
   order.run = run;
   session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.stops;
-  this->orders.emplace(order.id, OrderSubject{session.incarnation, run, this->now});
+  this->expectAnswer(order.id, session, run);
   this->actions.emplace_back(std::move(order));
 }
 
@@ -271,7 +275,7 @@
                                 const OrderAnswer &answer) {
   if (!subject)
     return {nullptr, nullptr};
-  const auto found = this->find(subject->worker);
+  const auto found = this->find(*subject);
   if (WorkerSession *session = found.second; session != nullptr) {
     --session->callsInFlight;
     if (answer.outcome != OrderOutcome::NoAnswer && answer.outcome != OrderOutcome::NotSent)
@@ -428,7 +432,7 @@
   const std::optional<OrderSubject> subject = dispatcher.takeOrder(order);
   if (!subject)
     return;
-  const auto [worker, session] = dispatcher.find(subject->worker);
+  const auto [worker, session] = dispatcher.find(*subject);
   if (session == nullptr)
     return;
   session->renewalInFlight = false;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -83,6 +83,8 @@
 
 struct WorkerSession {
   WorkerNumber number = 0;
+  std::uint64_t serial =
+      0; ///< Never reused by one dispatcher; answers to earlier sessions are void.
   WorkerIncarnation incarnation;
   const Worker *worker = nullptr; ///< In the table, as long as the session lives.
   bool hasAnswered = false;       ///< Has answered under this leader's fence.
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -248,13 +248,9 @@
 void FakeCell::call(const Order &order, Carry carry, Report report, std::int64_t timeoutMs) {
   Link *link = nullptr;
   FakeWorker *target = this->find(order.target, link);
-  const std::uint64_t sentTerm = this->term;
-  // Drops the answer if the leader that sent the order has been replaced.
-  const auto answer = [this, sentTerm, report, id = order.id](std::int64_t timeMs, Answer value) {
-    this->at(timeMs, [this, sentTerm, report, id, value] {
-      if (this->term == sentTerm && this->dispatcher)
-        this->timed([&] { report(id, value); });
-    });
+  // A daemon that leads again also gets the answers to orders of its former term.
+  const auto answer = [this, report, id = order.id](std::int64_t timeMs, Answer value) {
+    this->at(timeMs, [this, report, id, value] { this->timed([&] { report(id, value); }); });
   };
   const std::int64_t arrivalMs = this->nowMs + 1 + static_cast<std::int64_t>(this->source.below(9));
   const auto perform = [carry, target, order](std::int64_t timeMs) {
@@ -332,9 +328,8 @@
       if (this->isPermitted(ask->step, worker))
         answer.tickets.emplace_back(worker, "ticket");
     }
-    this->at(this->nowMs + ask->expectedMs, [this, answer, id = ask->id, sentTerm = this->term] {
-      if (this->term == sentTerm)
-        this->timed([&] { this->dispatcher->onAdviceAnswer(id, answer, this->clock()); });
+    this->at(this->nowMs + ask->expectedMs, [this, answer, id = ask->id] {
+      this->timed([&] { this->dispatcher->onAdviceAnswer(id, answer, this->clock()); });
     });
   }
 }
--- a/packages/jobs/tests/StopAnswerTest.cpp
+++ b/packages/jobs/tests/StopAnswerTest.cpp
@@ -31,11 +31,15 @@
     spec.steps[0].demand = {1000, 100, 0};
     spec.steps[0].estimatedMs = 1000;
     this->table.apply({EpochMs, {PutConfiguration{configuration}, RegisterWorker{profile}}});
-    this->dispatcher = std::make_unique<Dispatcher>(this->table, DispatcherOptions{5},
-                                                    base::RandomSource(1), this->now, EpochMs);
+    this->lead(5);
     this->apply({AcceptJob{spec, queue}});
   }
 
+  void lead(std::uint64_t term) {
+    this->dispatcher = std::make_unique<Dispatcher>(this->table, DispatcherOptions{term},
+                                                    base::RandomSource(1), this->now, EpochMs);
+  }
+
   void apply(std::vector<Command> commands) {
     const CommandBatch batch{EpochMs, std::move(commands)};
     const Effect effect = this->table.apply(batch);
@@ -101,6 +105,51 @@
   CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.count(unknownRun.task));
 }
 
+/// A daemon that led again took answers to orders of its former term, which had the same numbers,
+/// for answers to its new ones, and placed the runs that were missing in them again.
+TEST(StopAnswer, OfAFormerTermProvesNothing) {
+  ManualCell cell;
+  std::vector<Action> orders = cell.step(10);
+  const RenewLeaseOrder *hold = cell.find<RenewLeaseOrder>(orders);
+  CHECK(hold != nullptr);
+  const OrderId former = hold->id;
+  const RunKey run{{"job", 0, 0, 0}, 1};
+  cell.apply({PlaceRuns{5, {{run, "w"}}}});
+  cell.lead(6);
+  orders = cell.step(10);
+  CHECK(cell.find<RenewLeaseOrder>(orders) != nullptr);
+  cell.dispatcher->onRenewLeaseAnswer(former, {OrderOutcome::Accepted, 1000, 7, {}, {}}, cell.now);
+  cell.step(10);
+  CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.count(run.task));
+}
+
+/// The answer to an order of the time before a worker was removed was counted for its next session:
+/// the number of its open calls fell below zero, and it got no order until the next election.
+TEST(StopAnswer, ToAnOrderOfAnEarlierSessionCountsForNoLaterOne) {
+  ManualCell cell;
+  const auto holdIt = [&cell](std::vector<Action> orders) {
+    const RenewLeaseOrder *hold = cell.find<RenewLeaseOrder>(orders);
+    CHECK(hold != nullptr);
+    cell.dispatcher->onRenewLeaseAnswer(hold->id, {OrderOutcome::Accepted, 1000, 7, {}, {}},
+                                        cell.now);
+  };
+  holdIt(cell.step(10));
+  cell.step(10); // Places the task.
+  std::vector<Action> orders = cell.step(10);
+  const StartOrder *start = cell.find<StartOrder>(orders);
+  CHECK(start != nullptr);
+  const OrderId former = start->id;
+  const WorkerProfile profile = cell.table.findWorker("w")->profile;
+  cell.apply({RemoveWorker{profile.incarnation, {}}});
+  cell.apply({RegisterWorker{profile}});
+  cell.dispatcher->onStartAnswer(former, {OrderOutcome::NoAnswer, {}}, cell.now);
+  holdIt(cell.step(10));
+  cell.step(10);
+  orders = cell.step(10);
+  start = cell.find<StartOrder>(orders);
+  CHECK(start != nullptr && start->run.run == 2);
+}
+
 /// A removal takes effect when it is committed; a start that the worker carried out before that was
 /// released while it ran.
 TEST(StopAnswer, WorkerThatIsBeingRemovedGetsNoMoreOrders) {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -212,7 +212,7 @@
 void Node::State::relay() {
   const bool waiting = !this->answers.answers.answers.empty() ||
                        std::any_of(this->relays.begin(), this->relays.end(),
-                                   [](const auto &entry) { return !entry.second.orders.empty(); });
+                                   [](const auto &entry) { return !entry.second.empty(); });
   if (!waiting)
     return;
   if (this->now >= this->nextRelay) {
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -31,12 +31,6 @@
   std::uint32_t attempts = 0;
 };
 
-/// Orders waiting to be sent to one relay.
-struct RelayQueue {
-  std::vector<jobs::WorkerOrder> orders;
-  std::uint32_t callsInFlight = 0; ///< Calls in flight.
-};
-
 /// Workers' answers waiting to be sent back to the leader.
 struct AnswerQueue {
   std::string address;
@@ -92,7 +86,10 @@
   std::uint64_t highestLeaderTerm = 0; ///< Highest term of a leader that answered.
   std::map<base::DaemonId, std::vector<consensus::Message>> outbox;
   std::map<base::DaemonId, std::uint32_t> callsInFlight; ///< Calls with replica messages in flight.
-  std::map<base::DaemonId, RelayQueue> relays;           ///< While this node leads.
+  /// Orders waiting to be sent to each relay, while this node leads.
+  std::map<base::DaemonId, std::vector<jobs::WorkerOrder>> relays;
+  /// Calls with orders in flight to each relay; they may outlive the term.
+  std::map<base::DaemonId, std::uint32_t> relayCallsInFlight;
   std::unordered_map<jobs::OrderId, RelayedOrder> relayed;
   AnswerQueue answers; ///< To the leader for which this node relays.
   base::TimePoint nextRelay = base::TimePoint::min();
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -145,27 +145,25 @@
   waiting.expires = this->now + RelayedOrderTimeout;
   if (const auto *hold = std::get_if<jobs::RenewLeaseOrder>(&order))
     waiting.expires += std::chrono::milliseconds(hold->waitMs);
-  this->relays[relay].orders.push_back(std::move(order));
+  this->relays[relay].push_back(std::move(order));
 }
 
 void Node::State::sendRelayed() {
   if (!this->dispatcher)
     return;
   const std::uint64_t term = this->group->term();
-  for (auto &[id, queue] : this->relays) {
+  for (auto &[id, orders] : this->relays) {
     const membership::PeerRecord *peer = this->peerDirectory->find(id);
-    if (queue.orders.empty() || queue.callsInFlight >= MaxRelayCalls || peer == nullptr)
+    std::uint32_t &inFlight = this->relayCallsInFlight[id];
+    if (orders.empty() || inFlight >= MaxRelayCalls || peer == nullptr)
       continue;
-    ++queue.callsInFlight;
-    wire::RelayedOrders batch{term, this->peerDirectory->self().address,
-                              std::exchange(queue.orders, {})};
+    ++inFlight;
+    wire::RelayedOrders batch{term, this->peerDirectory->self().address, std::exchange(orders, {})};
     this->callPeer(peer->address, batch, RelayTimeout,
                    [this, id = id](base::Verdict /*verdict*/,
                                    const std::optional<wire::PeerReply> & /*reply*/) {
                      // Undelivered orders expire like unanswered ones.
-                     if (const auto found = this->relays.find(id);
-                         found != this->relays.end() && found->second.callsInFlight > 0)
-                       --found->second.callsInFlight;
+                     --this->relayCallsInFlight[id];
                    });
   }
 }
@@ -282,7 +280,7 @@
       advisers.push_back(peer.id);
   }
   this->dispatcher->setAdvisoryDaemons(advisers);
-  std::map<base::DaemonId, RelayQueue> next;
+  std::map<base::DaemonId, std::vector<jobs::WorkerOrder>> next;
   for (const membership::PeerRecord &peer :
        this->peerDirectory->livePeers(this->now, AdviserTimeout)) {
     if (!peer.stopping && peer.hasDisk)
--- a/packages/wire/src/JobFields.h
+++ b/packages/wire/src/JobFields.h
@@ -76,6 +76,7 @@
                   v.document, v.reportTo, v.waveDone)
 BANYANRILL_FIELDS(AdviceAnswer, v.answered, v.tickets)
 BANYANRILL_FIELDS(OrderTarget, v.worker, v.address, v.fencingToken)
+BANYANRILL_FIELDS(OrderId, v.term, v.number)
 BANYANRILL_FIELDS(StartOrder, v.id, v.target, v.run, v.taskSpec, v.leaseUntilMs, v.checkpoint,
                   v.ticket)
 BANYANRILL_FIELDS(StopOrder, v.id, v.target, v.run)
--- a/packages/wire/tests/PeerCodecTest.cpp
+++ b/packages/wire/tests/PeerCodecTest.cpp
@@ -22,12 +22,12 @@
 
 RelayedOrders relayedOrders() {
   jobs::StartOrder start;
-  start.id = 7;
+  start.id = {3, 7};
   start.target = {"w", "10.0.0.1:80", 3};
   start.run = {{"job", 0, 1, 2}, 4};
   start.leaseUntilMs = 99;
   jobs::RenewLeaseOrder hold;
-  hold.id = 8;
+  hold.id = {3, 8};
   hold.leaseUntilMs = 5;
   return {3, "10.0.0.2:7", {start, hold}};
 }
@@ -43,7 +43,7 @@
       ForwardedRequest{9, submission(), 4},
       AdviceRequest{{"job", 0, 1}, {"w1", "w2"}, 30},
       relayedOrders(),
-      RelayedAnswers{3, {{7, jobs::OrderAnswer{jobs::OrderOutcome::NoRoom, 12}}}},
+      RelayedAnswers{3, {{{3, 7}, jobs::OrderAnswer{jobs::OrderOutcome::NoRoom, 12}}}},
   };
   for (const PeerRequest &request : requests) {
     const base::Result<PeerRequest> read = decodePeerRequest(encode(request));
--- a/packages/wire/tests/PeerMutationTest.cpp
+++ b/packages/wire/tests/PeerMutationTest.cpp
@@ -23,7 +23,7 @@
   const jobs::RunKey run{{spec.id, 0, 1, 3}, 1};
   return {17,
           {jobs::AcceptJob{spec, {}}, jobs::RegisterWorker{profile},
-           jobs::PlaceRuns{3, {{run, "i-1"}}},
+           jobs::RestartWorker{{"i-1", 16}, profile}, jobs::PlaceRuns{3, {{run, "i-1"}}},
            jobs::RecordEnds{{"i-1", 17}, {{1, run, jobs::EndKind::Failed, "c"}}}}};
 }
 
