Promote a learner only after it has stored an entry of the present term

What callers could see: no leader for good, or until a disk works again, although only one machine is harmed. Ruled out: the election itself. Change: a learner must have acknowledged an entry of the leader's own term, which is durable on its disk. Evidence: MembershipChange.learnerThatStoredNothingInThisTermIsNotPromoted failed before and passes now; test_consensus 49 of 49.

--- a/packages/consensus/src/Replica.cpp
+++ b/packages/consensus/src/Replica.cpp
@@ -81,11 +81,18 @@
   return state.log.lastIndex() - state.log.commitIndex() >= state.options.maxUncommittedEntries;
 }
 
-// A learner that lacks more than one append would stall commits if its vote were needed.
+// A learner that lacks more than one append would stall commits if its vote were needed, and one
+// that has stored nothing in this term may have no disk that works: its vote would be lost for good
+// together with that of the voter that it replaces.
+bool isLagging(const ReplicaState &state, ReplicaId learner) {
+  const Index match = state.peers.at(learner).match;
+  return match < state.termStart ||
+         match + state.options.maxEntriesPerAppend < state.log.commitIndex();
+}
+
 bool promotesLaggingLearner(const ReplicaState &state, const Membership &membership) {
   return std::any_of(membership.voters.begin(), membership.voters.end(), [&state](ReplicaId id) {
-    return isLearner(state.memberships.current(), id) &&
-           state.peers.at(id).match + state.options.maxEntriesPerAppend < state.log.commitIndex();
+    return isLearner(state.memberships.current(), id) && isLagging(state, id);
   });
 }
 
--- a/packages/consensus/tests/MembershipTest.cpp
+++ b/packages/consensus/tests/MembershipTest.cpp
@@ -63,6 +63,24 @@
   CHECK_EQUAL(5, network.nodes.at(added).applied);
 }
 
+/// A node whose disk took nothing yet became a voter in place of a lost one: neither could vote, and two
+/// of four voters are no majority.
+TEST(MembershipChange, learnerThatStoredNothingInThisTermIsNotPromoted) {
+  Driver driver;
+  driver.lead();
+  driver.receive(MessageKind::AppendResponse, 2, driver.replica.term(), driver.replica.lastIndex());
+  driver.settle();
+  CHECK(driver.replica.proposeMembership({{1, 2, 3}, {4}}, driver.now) == ProposeResult::Accepted);
+  driver.settle();
+  driver.receive(MessageKind::AppendResponse, 2, driver.replica.term(), driver.replica.lastIndex());
+  driver.settle();
+  const Membership promoted = {{1, 2, 3, 4}, {}};
+  CHECK(driver.replica.proposeMembership(promoted, driver.now) == ProposeResult::Busy);
+  driver.receive(MessageKind::AppendResponse, 4, driver.replica.term(), driver.replica.lastIndex());
+  driver.settle();
+  CHECK(driver.replica.proposeMembership(promoted, driver.now) == ProposeResult::Accepted);
+}
+
 TEST(MembershipChange, learnersNeitherVoteInElectionsNorCountForCommit) {
   Network network(5, 3);
   const ReplicaId leader = network.awaitLeader();
