Let followers report to a new leader before it takes a voter for lost

What callers could see: needless changes of the group after an election, in which a live voter may be removed while a dead one stays. Cause: heartbeats go to the known leader, so a new one has not heard from the other followers and counted them as lost at once. Ruled out: clusters without a standby, where the planner has nothing to promote. Change: voters count as lost only once the node has led for as long as a voter may be silent.

--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -212,6 +212,7 @@
 
 void Node::State::onBecameLeader() {
   ++this->metrics.leaderships;
+  this->leaderSince = this->now;
   this->pauseGuard = PauseGuard();
   jobs::DispatcherOptions dispatcherOptions;
   dispatcherOptions.term = this->group->term();
--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -37,7 +37,8 @@
 std::optional<consensus::Membership>
 MembershipPlanner::next(const consensus::Membership &current,
                         const membership::PeerDirectory &peerDirectory, base::DaemonId self,
-                        std::size_t voterCount, base::TimePoint now) const {
+                        std::size_t voterCount, base::TimePoint leaderSince,
+                        base::TimePoint now) const {
   consensus::Membership changed = current;
   // Adds a live node with a disk as a learner, up to the wanted number of standbys: each learner
   // costs the leader as much as a voter.
@@ -55,8 +56,9 @@
     return changed;
   }
   std::vector<consensus::ReplicaId> lost;
+  const bool mayHaveHeardAll = now - leaderSince >= VoterLostTimeout;
   for (const consensus::ReplicaId id : current.voters) {
-    if (id != self && !isUsable(peerDirectory, id, now))
+    if (mayHaveHeardAll && id != self && !isUsable(peerDirectory, id, now))
       lost.push_back(id);
   }
   const std::size_t liveVoters = current.voters.size() - lost.size();
--- a/packages/node/src/MembershipPlanner.h
+++ b/packages/node/src/MembershipPlanner.h
@@ -12,11 +12,12 @@
 class MembershipPlanner {
 public:
   /// Returns the next membership to propose, which differs from the current one in one node; empty
-  /// if no change is needed. `voterCount` is the wanted number of voters.
+  /// if no change is needed. `voterCount` is the wanted number of voters; `leaderSince` is when
+  /// this node began to lead. Thread-safe.
   std::optional<consensus::Membership> next(const consensus::Membership &current,
                                             const membership::PeerDirectory &peerDirectory,
                                             base::DaemonId self, std::size_t voterCount,
-                                            base::TimePoint now) const;
+                                            base::TimePoint leaderSince, base::TimePoint now) const;
 };
 
 } // namespace banyanrill::node
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -293,8 +293,8 @@
     if (this->group->isLeader() && this->now >= this->nextMembershipCheck) {
       this->nextMembershipCheck = this->now + MembershipCheckInterval;
       const std::size_t voters = std::max<std::size_t>(2 * this->options.toleratedFailures + 1, 1);
-      const std::optional<consensus::Membership> next = this->membershipPlanner.next(
-          this->group->membership(), *this->peerDirectory, this->group->self(), voters, this->now);
+      const std::optional<consensus::Membership> next = this->membershipPlanner.next(this->group->membership(), *this->peerDirectory,
+                                       this->group->self(), voters, this->leaderSince, this->now);
       if (next &&
           this->group->proposeMembership(*next, this->now) == consensus::ProposeResult::Accepted)
         base::logEvent(base::Event::MembershipProposed,
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -101,6 +101,7 @@
                                                     ///< or a suspension.
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextMembershipCheck = base::TimePoint::min();
+  base::TimePoint leaderSince = base::TimePoint::min();
   std::optional<membership::KnownLeader> loggedLeader; ///< The leader in the last log line.
   std::int64_t suspendedMs = 0; ///< Total time that the machine has been suspended.
   PauseGuard pauseGuard;
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 const base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
+const base::TimePoint LongAgo = Now - std::chrono::seconds(50);
 
 membership::PeerRecord peer(base::DaemonId id) {
   return {id, "10.0.0." + std::to_string(id) + ":7", "", "dc", "r", true, false};
@@ -28,7 +29,7 @@
 
 std::optional<consensus::Membership> nextFor(const consensus::Membership &current,
                                              const std::vector<base::DaemonId> &live) {
-  return MembershipPlanner().next(current, peerDirectoryWith(live), 1, 3, Now);
+  return MembershipPlanner().next(current, peerDirectoryWith(live), 1, 3, LongAgo, Now);
 }
 
 } // namespace
@@ -55,6 +56,15 @@
 
 TEST(MembershipPlanner, LostVoterWithoutReplacementStays) { CHECK(!nextFor({{1, 2, 3}, {}}, {2})); }
 
+/// Followers send heartbeats to the leader they know, so a new one has not heard from them: it made
+/// a voter of a standby and removed a live voter.
+TEST(MembershipPlanner, NewLeaderTakesNoVoterForLostBeforeItCouldReport) {
+  const membership::PeerDirectory peerDirectory = peerDirectoryWith({4});
+  const consensus::Membership current = {{1, 2, 3}, {4}};
+  CHECK(!MembershipPlanner().next(current, peerDirectory, 1, 3, Now, Now));
+  CHECK(MembershipPlanner().next(current, peerDirectory, 1, 3, LongAgo, Now).has_value());
+}
+
 /// A voter whose disk had failed sent heartbeats as before and was never replaced.
 TEST(MembershipPlanner, LearnerReplacesAVoterWithoutItsDisk) {
   membership::PeerDirectory peerDirectory = peerDirectoryWith({2, 3, 4});
@@ -62,10 +72,11 @@
   heartbeat.sender = peer(3);
   heartbeat.sender.hasDisk = false;
   peerDirectory.onHeartbeat(heartbeat, Now);
-  const auto promoted = MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, Now);
+  const auto promoted =
+      MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, LongAgo, Now);
   CHECK(promoted.has_value());
   CHECK((promoted->voters == std::vector<consensus::ReplicaId>{1, 2, 3, 4}));
-  const auto removed = MembershipPlanner().next(*promoted, peerDirectory, 1, 3, Now);
+  const auto removed = MembershipPlanner().next(*promoted, peerDirectory, 1, 3, LongAgo, Now);
   CHECK(removed.has_value());
   CHECK((removed->voters == std::vector<consensus::ReplicaId>{1, 2, 4}));
 }
@@ -76,7 +87,7 @@
   heartbeat.sender = peer(4);
   heartbeat.sender.hasDisk = false;
   peerDirectory.onHeartbeat(heartbeat, Now);
-  CHECK(!MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, Now));
+  CHECK(!MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, LongAgo, Now));
 }
 
 TEST(MembershipPlanner, LearnerIsNotPromotedWhileAllVotersAreLive) {
