Offer a disk to the group only once the folder on it exists

Cause: since a daemon starts on a full disk, it announced a disk under an id that was not stored anywhere. The leader made it a voter, and with its process the id was gone for good. Change: a node offers its disk once the folder has an identity, and while it has not been closed for long.

--- a/packages/node/src/Group.cpp
+++ b/packages/node/src/Group.cpp
@@ -15,6 +15,10 @@
 /// Entries between snapshots. Bounds the log's replay at a restart and its memory.
 constexpr consensus::Index SnapshotInterval = 8192;
 
+/// A node whose disk has refused writes for this long says that it has none, so that another takes
+/// its place in the group; as long as the silence after which the leader replaces a voter.
+constexpr base::Duration DiskLossTimeout = std::chrono::milliseconds(1600);
+
 constexpr std::size_t MaxCommandsPerEntry = 256;
 
 /// Uncommitted entries in flight; further proposals wait and share the next entry.
@@ -64,6 +68,7 @@
   if (!identity && identity.error().code != base::Errc::NotFound)
     return identity.error();
   // A new folder gets a new id, so a daemon that lost its disk cannot vote twice in a term.
+  group->isCreated = identity.ok();
   group->id =
       identity ? identity.value().replica : static_cast<base::DaemonId>(group->random.next() | 1U);
   const daemon::FolderOpener opener = [replicaFolder, id = group->id] {
@@ -88,6 +93,10 @@
   return group;
 }
 
+bool Group::offersDisk(base::TimePoint now) const {
+  return this->isCreated && (!this->closedSince || now - *this->closedSince < DiskLossTimeout);
+}
+
 void Group::found(const std::vector<base::DaemonId> &voters,
                   const std::map<std::uint32_t, jobs::Member> &members, base::TimePoint now) {
   // All founders start from the same snapshot, so the first membership needs no log entry.
@@ -373,6 +382,7 @@
 void Group::onOpened(std::uint64_t folderOpening, consensus::StoredState stored,
                      base::TimePoint now) {
   this->opening = folderOpening;
+  this->isCreated = true;
   if (this->closedSince) {
     const auto closed =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->closedSince);
--- a/packages/node/src/Group.h
+++ b/packages/node/src/Group.h
@@ -49,8 +49,9 @@
   base::DaemonId self() const { return this->id; }
   /// Returns whether the data folder is open.
   bool isOpen() const { return !this->closedSince; }
-  /// Since when the data folder has not been open; empty if it is open.
-  std::optional<base::TimePoint> closedFrom() const { return this->closedSince; }
+  /// Whether this node may count as one with a disk: its folder has been open, and has not been
+  /// closed for long. Until it is created, its id may be lost with the process.
+  bool offersDisk(base::TimePoint now) const;
   /// How often the data folder has failed since the start.
   std::uint64_t storageFailures() const { return this->failures; }
   /// Returns whether the folder is open and empty, so that this node may found a group or join one.
@@ -116,6 +117,7 @@
   bool blank = false;
   std::uint64_t opening = 0; ///< Of the data folder; 0 while it is not open.
   std::optional<base::TimePoint> closedSince;
+  bool isCreated = false; ///< The folder has an identity.
   std::uint64_t failures = 0;
   /// The first state of a founder, until it is certainly stored.
   std::optional<consensus::StoredState> founding;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -21,10 +21,6 @@
 /// How often the leader checks the group's membership.
 constexpr base::Duration MembershipCheckInterval = std::chrono::milliseconds(150);
 
-/// A node whose disk has refused writes for this long says that it has none, so that another takes
-/// its place in the group; as long as the silence after which the leader replaces a voter.
-constexpr base::Duration DiskLossTimeout = std::chrono::milliseconds(1600);
-
 /// Large enough for configurations with thousands of queues.
 constexpr std::size_t MaxBodyBytes = std::size_t(4) * 1024 * 1024;
 
@@ -93,7 +89,7 @@
     directoryOptions.self.controlAddress = textOf(*this->options.control);
   directoryOptions.self.dataCentre = this->options.dataCentre;
   directoryOptions.self.region = this->options.region;
-  directoryOptions.self.hasDisk = this->group != nullptr;
+  directoryOptions.self.hasDisk = this->group != nullptr && this->group->offersDisk(this->now);
   directoryOptions.seeds = this->options.seeds;
   directoryOptions.canBootstrap = this->options.firstStart && this->group != nullptr &&
                                   (this->group->isBlank() || !this->group->isOpen());
@@ -285,15 +281,14 @@
   this->logLeader();
   if (this->group) {
     this->group->tick(this->now);
-    const std::optional<base::TimePoint> closed = this->group->closedFrom();
-    this->peerDirectory->setHasDisk(!closed || this->now - *closed < DiskLossTimeout ||
-                                    this->peerDirectory->isBootstrapping());
+    this->peerDirectory->setHasDisk(this->group->offersDisk(this->now));
     if (this->peerDirectory->isBootstrapping())
       this->bootstrapGroup();
     if (this->group->isLeader() && this->now >= this->nextMembershipCheck) {
       this->nextMembershipCheck = this->now + MembershipCheckInterval;
       const std::size_t voters = std::max<std::size_t>(2 * this->options.toleratedFailures + 1, 1);
-      const std::optional<consensus::Membership> next = this->membershipPlanner.next(this->group->membership(), *this->peerDirectory,
+      const std::optional<consensus::Membership> next =
+          this->membershipPlanner.next(this->group->membership(), *this->peerDirectory,
                                        this->group->self(), voters, this->leaderSince, this->now);
       if (next &&
           this->group->proposeMembership(*next, this->now) == consensus::ProposeResult::Accepted)
--- a/packages/node/tests/GroupStorageTest.cpp
+++ b/packages/node/tests/GroupStorageTest.cpp
@@ -180,6 +180,17 @@
   CHECK(cell.leads());
 }
 
+/// The leader made a voter of a node that had no folder yet; its id was gone with its process.
+TEST(GroupStorage, NodeWithoutAFolderOffersNoDisk) {
+  {
+    const FullDisk full;
+    CHECK(cell.open());
+    CHECK(!cell.group->offersDisk(base::steadyNow()));
+  }
+  CHECK(cell.eventually([this] { return cell.group->isBlank(); }));
+  CHECK(cell.group->offersDisk(base::steadyNow()));
+}
+
 /// A founder whose disk refused the first state would otherwise wait for a leader that does not
 /// exist.
 TEST(GroupStorage, FounderFoundsAgainOnceTheDiskHasRoom) {
