Let disks refuse writes and hang in the soak

Change: a limit on file sizes, set from outside, refuses every write of a process to a file, also when it is started again; tracing the thread that stores lets it stand still as in a call that does not return. Logs go through a pipe, since a log file would be full as well. Disks have random draws of their own, so the other faults of a seed stay the same. A harmed disk counts as a lost machine.

--- a/tests/soak/Machines.cpp
+++ b/tests/soak/Machines.cpp
@@ -1,8 +1,13 @@
 #include "Machines.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <set>
+#include <sys/ptrace.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -28,7 +33,10 @@
   std::filesystem::create_directories(this->folder / "data");
 }
 
-Machine::~Machine() { this->kill(); }
+Machine::~Machine() {
+  this->kill();
+  this->joinLog();
+}
 
 std::string Machine::ip() const { return addressIn(this->index, 1); }
 
@@ -55,25 +63,97 @@
     if (this->hasDisk)
       file << "DataDirectory=" << (this->folder / "data").string() << '\n';
   }
-  const std::string log = (this->folder / "log").string();
+  this->joinLog();
+  std::array<int, 2> output = {-1, -1};
+  if (pipe2(output.data(), O_CLOEXEC) != 0)
+    return;
   std::string advertised = this->peerIp() + ':' + std::to_string(this->ports.peer);
   const std::string variable = "BANYANRILL_SETTINGS=" + settings.string();
   this->pid = fork();
   if (this->pid == 0) {
-    const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
+    dup2(output[1], STDOUT_FILENO);
+    dup2(output[1], STDERR_FILENO);
+    if (this->isDiskFull) {
+      constexpr rlimit None = {0, RLIM_INFINITY};
+      setrlimit(RLIMIT_FSIZE, &None);
+    }
     char *const arguments[] = {this->program.data(), const_cast<char *>("--platform"),
                                const_cast<char *>("--advertise"), advertised.data(), nullptr};
     char *const environment[] = {const_cast<char *>(variable.c_str()), nullptr};
     execve(this->program.c_str(), arguments, environment);
     _exit(127);
   }
+  close(output[1]);
+  this->logCopier = std::thread([this, input = output[0]] { this->copyLog(input); });
   this->isTold = false;
   this->isPaused = false;
   this->upSince = std::chrono::steady_clock::now();
 }
 
+void Machine::copyLog(int input) const {
+  std::ofstream log(this->folder / "log", std::ios::binary | std::ios::app);
+  std::array<char, 65536> buffer = {};
+  while (true) {
+    const ssize_t count = read(input, buffer.data(), buffer.size());
+    if (count < 0 && errno == EINTR)
+      continue;
+    if (count <= 0)
+      break;
+    log.write(buffer.data(), count);
+  }
+  close(input);
+}
+
+void Machine::joinLog() {
+  if (this->logCopier.joinable())
+    this->logCopier.join();
+}
+
+void Machine::limitFiles(bool isFull) const {
+  const rlimit limit = {isFull ? 0 : RLIM_INFINITY, RLIM_INFINITY};
+  if (this->pid > 0)
+    prlimit(this->pid, RLIMIT_FSIZE, &limit, nullptr);
+}
+
+void Machine::fillDisk() {
+  this->isDiskHarmed = true;
+  this->isDiskFull = true;
+  this->limitFiles(true);
+}
+
+pid_t Machine::storageThread() const {
+  // The daemon starts it first, before the loop of its connections.
+  std::set<pid_t> threads;
+  std::error_code code;
+  const std::string tasks = "/proc/" + std::to_string(this->pid) + "/task";
+  for (const auto &entry : std::filesystem::directory_iterator(tasks, code))
+    threads.insert(static_cast<pid_t>(std::stol(entry.path().filename().string())));
+  return threads.size() < 2 ? 0 : *std::next(threads.begin());
+}
+
+void Machine::hangDisk() {
+  const pid_t thread = this->pid > 0 ? this->storageThread() : 0;
+  if (thread == 0 || ptrace(PTRACE_SEIZE, thread, nullptr, nullptr) != 0)
+    return;
+  this->isDiskHarmed = true;
+  this->hungThread = thread;
+  ptrace(PTRACE_INTERRUPT, thread, nullptr, nullptr);
+  int status = 0;
+  waitpid(thread, &status, __WALL);
+}
+
+void Machine::healDisk() {
+  if (std::exchange(this->isDiskFull, false))
+    this->limitFiles(false);
+  if (this->hungThread != 0 && ptrace(PTRACE_DETACH, this->hungThread, nullptr, nullptr) != 0) {
+    int status = 0;
+    waitpid(this->hungThread, &status, __WALL); // The process has ended.
+  }
+  this->hungThread = 0;
+  this->isDiskHarmed = false;
+  this->upSince = std::chrono::steady_clock::now();
+}
+
 void Machine::signal(int number) const {
   if (this->pid > 0)
     ::kill(this->pid, number);
@@ -96,6 +176,9 @@
     return;
   ::kill(this->pid, SIGKILL);
   int status = 0;
+  // The end of a traced thread is reported first.
+  if (const pid_t thread = std::exchange(this->hungThread, 0); thread != 0)
+    waitpid(thread, &status, __WALL);
   waitpid(this->pid, &status, 0);
   this->pid = 0;
   const bool isKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
--- a/tests/soak/Machines.h
+++ b/tests/soak/Machines.h
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 namespace banyanrill::soak {
@@ -31,6 +32,12 @@
   bool isAlive();
   void kill();
   void wipeDisk() const;
+  /// The kernel refuses every write of the process to a file, also after a restart.
+  void fillDisk();
+  /// The thread that writes and syncs stands still, as in a call that does not return. Nothing
+  /// happens where the process may not be traced. Call from the thread that calls `healDisk`.
+  void hangDisk();
+  void healDisk();
 
   std::string ip() const;
   /// Where other machines find it: a proxy before its peer listener.
@@ -43,16 +50,25 @@
   const bool hasDisk;
   bool isTold = false; ///< Has been told to stop.
   bool isPaused = false;
+  bool isDiskHarmed = false;
   std::chrono::steady_clock::time_point upSince; ///< Of the process, or since it was woken.
 
 private:
+  void limitFiles(bool isFull) const;
+  void copyLog(int input) const;
+  void joinLog();
+  pid_t storageThread() const;
+
   std::string program;
   std::filesystem::path folder;
   std::size_t index;
   Ports ports;
   std::string advice;
   pid_t pid = 0;
+  pid_t hungThread = 0; ///< Stopped by `hangDisk`.
+  bool isDiskFull = false;
   bool unexpectedEnd = false;
+  std::thread logCopier; ///< A log file of the process itself would be full as well.
 };
 
 } // namespace banyanrill::soak
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -46,6 +46,14 @@
 constexpr std::uint64_t MaxPauseMs = 1500;
 constexpr std::uint64_t MaxDownMs = 2500;
 
+/// The same for disks. A disk may hang for longer than an election takes.
+constexpr std::uint64_t MaxDiskPauseMs = 4000;
+constexpr std::uint64_t MaxFullMs = 3000;
+constexpr std::uint64_t MaxHangMs = 6000;
+
+/// Disks have draws of their own, so that the other faults of a seed stay the same.
+constexpr std::uint64_t DiskSeedOffset = 1000000;
+
 struct AcceptedJob {
   Clock::time_point at;
   bool isDone = false;
@@ -53,7 +61,8 @@
 
 class Soak {
 public:
-  Soak(std::uint64_t seed, const std::string &program) : random(seed) {
+  Soak(std::uint64_t seed, const std::string &program)
+      : random(seed), diskRandom(seed + DiskSeedOffset) {
     std::string name = "/tmp/banyanrill-soak-" + std::to_string(seed) + "-XXXXXX";
     this->folder = mkdtemp(name.data());
     const std::vector<std::uint16_t> free = platform::test::freePorts(4);
@@ -89,6 +98,7 @@
     while (Clock::now() < end && this->broken.empty()) {
       this->step();
       this->harm();
+      this->harmDisks();
       std::this_thread::sleep_for(milliseconds(20));
     }
     this->heal();
@@ -286,7 +296,7 @@
       if (this->peers[index]->isHarmed())
         machine.upSince = Clock::now();
       if (index != except && (!machine.isAlive() || machine.isPaused || machine.isTold ||
-                              Clock::now() - machine.upSince < CatchUp))
+                              machine.isDiskHarmed || Clock::now() - machine.upSince < CatchUp))
         return true;
     }
     return false;
@@ -348,7 +358,33 @@
     }
   }
 
+  void harmDisks() {
+    const auto now = Clock::now();
+    for (std::size_t index = 0; index < Disks; ++index) {
+      if (this->machines[index]->isDiskHarmed && now >= this->diskHealsAt[index])
+        this->machines[index]->healDisk();
+    }
+    if (now < this->nextDiskFault)
+      return;
+    this->nextDiskFault = now + milliseconds(this->diskRandom.below(MaxDiskPauseMs));
+    const std::size_t index = this->diskRandom.below(Disks);
+    const bool fills = this->diskRandom.below(3) != 0;
+    const milliseconds time(200 + this->diskRandom.below(fills ? MaxFullMs : MaxHangMs));
+    soak::Machine &machine = *this->machines[index];
+    if (!machine.isAlive() || machine.isPaused || machine.isTold || machine.isDiskHarmed ||
+        this->aDiskIsLost(index))
+      return;
+    ++this->faults;
+    this->diskHealsAt[index] = now + time;
+    if (fills)
+      machine.fillDisk();
+    else
+      machine.hangDisk();
+  }
+
   void heal() {
+    for (std::size_t index = 0; index < Disks; ++index)
+      this->machines[index]->healDisk();
     for (const auto *links : {&this->fronts, &this->peers, &this->workers}) {
       for (const auto &link : *links)
         link->setFault(soak::LinkFault::None);
@@ -358,6 +394,7 @@
   }
 
   base::RandomSource random;
+  base::RandomSource diskRandom;
   std::filesystem::path folder;
   platform::test::FakePlatform users{Workers};
   std::vector<std::unique_ptr<soak::Machine>> machines;
@@ -369,6 +406,8 @@
   std::unique_ptr<http::Client> client;
   std::map<std::string, AcceptedJob> jobs;
   std::array<Clock::time_point, Machines> resumeAt = {};
+  std::array<Clock::time_point, Disks> diskHealsAt = {};
+  Clock::time_point nextDiskFault = Clock::now() + seconds(2);
   Clock::time_point nextFault = Clock::now() + seconds(2);
   std::set<std::size_t> reported;
   std::vector<std::string> broken;
