--- a/packages/consensus/tests/MembershipTest.cpp
+++ b/packages/consensus/tests/MembershipTest.cpp
@@ -63,8 +63,8 @@
   CHECK_EQUAL(5, network.nodes.at(added).applied);
 }
 
-/// A node whose disk took nothing yet became a voter in place of a lost one: neither could vote, and two
-/// of four voters are no majority.
+/// A node whose disk took nothing yet became a voter in place of a lost one: neither could vote,
+/// and two of four voters are no majority.
 TEST(MembershipChange, learnerThatStoredNothingInThisTermIsNotPromoted) {
   Driver driver;
   driver.lead();
