Doubt other workers only after a batch's removals have reached the sessions

What callers could see: a leader that reads freed memory, when one batch removes a worker and adds another. Ruled out: other uses of the pointer; they follow the refresh of all changed workers. Change: all changed workers are refreshed first, then the others at a newcomer's address are asked. Evidence: DispatcherProperty under the address sanitizer (heap-use-after-free in doubtOthersAt) failed before; test_jobs 57 of 57 under it and without it now.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -271,12 +271,16 @@
         dispatcher.examineGang(run.run.task);
     }
   }
+  std::vector<const Worker *> newcomers;
   for (const std::string &worker : effect.changedWorkers) {
-    const bool isKnown = dispatcher.sessions.count(worker) != 0;
+    const Worker *inTable = dispatcher.table.findWorker(worker);
+    if (inTable != nullptr && dispatcher.sessions.count(worker) == 0)
+      newcomers.push_back(inTable);
     dispatcher.refreshWorker(worker);
-    if (const Worker *newcomer = dispatcher.table.findWorker(worker); newcomer && !isKnown)
-      dispatcher.doubtOthersAt(newcomer->profile);
   }
+  // Only now no session points to a worker that this batch has removed.
+  for (const Worker *newcomer : newcomers)
+    dispatcher.doubtOthersAt(newcomer->profile);
   for (const PlacedRun &placed : effect.placed) {
     const PendingRun *pending = dispatcher.findPending(placed.run.task);
     const auto session = dispatcher.sessions.find(placed.worker);
