Log what a replica starts from, its members and what it lacks to elect

New: 2011 replica_started, 2012 membership_in_force on every replica, 2013 no_majority_heard every 2 s without a leader (silent voters apart from those without an address); 2005 names the node and the reason; 4002 has index and term and is written by every replica, not only by the leader.

--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 46> Catalogue = {{
+constexpr std::array<EventDefinition, 49> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -42,6 +42,11 @@
      "The disk is behind; the log is not shortened this time."},
     {2010, Severity::Warning, "removal_failed",
      "An obsolete file could not be removed; it is tried again later."},
+    {2011, Severity::Info, "replica_started", "A replica starts from what its disk holds."},
+    {2012, Severity::Info, "membership_in_force",
+     "The members of the group, as this replica has them."},
+    {2013, Severity::Warning, "no_majority_heard",
+     "This voter knows no leader and has not heard from a majority lately."},
     {3001, Severity::Info, "owner_assigned", "The leader named the owner of a worker."},
     {3002, Severity::Info, "worker_adopted", "This daemon is now the owner of a worker."},
     {3003, Severity::Warning, "worker_grant_expired", "A worker stopped polling its owner."},
--- a/packages/node/src/Group.cpp
+++ b/packages/node/src/Group.cpp
@@ -36,6 +36,13 @@
   return options;
 }
 
+std::string joined(const std::vector<base::DaemonId> &ids) {
+  std::string text;
+  for (const base::DaemonId id : ids)
+    text += (text.empty() ? "" : ",") + std::to_string(id);
+  return text;
+}
+
 /// Only this program writes log entries. Skipping an unreadable one and applying later entries
 /// would make this replica diverge from the others.
 [[noreturn]] void abortOnUnreadableEntry(const base::Error &error) {
@@ -136,9 +143,30 @@
   this->snapshotIndex = stored.snapshot ? stored.snapshot->index : 0;
   this->barrierTerm = 0;
   this->readyTerm = 0;
+  const consensus::HardState hardState = stored.hardState;
   this->replica = std::make_unique<consensus::Replica>(
       replicaOptions(this->id), consensus::Membership(), std::move(stored),
       base::RandomSource(this->random.next()), now);
+  base::logEvent(base::Event::ReplicaStarted,
+                 {{"replica", std::to_string(this->id)},
+                  {"term", std::to_string(hardState.term)},
+                  {"voted_for", std::to_string(hardState.votedFor)},
+                  {"snapshot", std::to_string(this->snapshotIndex)},
+                  {"last_index", std::to_string(this->replica->lastIndex())}});
+  this->logMembership();
+}
+
+void Group::logMembership() {
+  const consensus::Membership &membership = this->replica->membership();
+  if (membership == this->loggedMembership)
+    return;
+  this->loggedMembership = membership;
+  base::logEvent(base::Event::MembershipInForce,
+                 {{"voters", joined(membership.voters)},
+                  {"learners", joined(membership.learners)},
+                  {"last_index", std::to_string(this->replica->lastIndex())},
+                  {"commit_index", std::to_string(this->replica->commitIndex())},
+                  {"term", std::to_string(this->replica->term())}});
 }
 
 void Group::load(const consensus::Snapshot &snapshot) {
@@ -176,6 +204,10 @@
   return this->replica == nullptr ? consensus::Membership() : this->replica->membership();
 }
 
+consensus::Index Group::lastIndex() const {
+  return this->replica == nullptr ? 0 : this->replica->lastIndex();
+}
+
 void Group::propose(jobs::Command command, ProposalCallback decided) {
   this->proposals.push_back({std::move(command), std::move(decided)});
   this->handlers.wake();
@@ -258,6 +290,7 @@
 
 bool Group::takeOutput(base::TimePoint now) {
   consensus::Output output = this->replica->takeOutput();
+  this->logMembership();
   for (const consensus::Message &message : output.messages)
     this->handlers.send(message);
   if (output.snapshot && output.snapshot->index > this->applied)
@@ -303,7 +336,14 @@
   const base::Result<jobs::CommandBatch> batch = wire::decodeCommandBatch(entry.payload);
   if (!batch)
     abortOnUnreadableEntry(batch.error());
+  const std::uint64_t formerVersion = this->configurationVersion();
   const jobs::Effect effect = this->jobTable.apply(batch.value());
+  if (this->configurationVersion() != formerVersion)
+    base::logEvent(base::Event::ConfigurationInForce,
+                   {{"version", std::to_string(this->configurationVersion())},
+                    {"queues", std::to_string(this->jobTable.state().configuration->queues.size())},
+                    {"index", std::to_string(entry.index)},
+                    {"term", std::to_string(entry.term)}});
   if (this->isLeading)
     this->handlers.applied(batch.value(), effect);
   if (entry.term == this->barrierTerm && this->readyTerm != entry.term &&
@@ -323,6 +363,11 @@
   }
 }
 
+std::uint64_t Group::configurationVersion() const {
+  const std::optional<jobs::Configuration> &configuration = this->jobTable.state().configuration;
+  return configuration ? configuration->version : 0;
+}
+
 void Group::loseLeadership() {
   if (std::exchange(this->isLeading, false))
     this->handlers.lostLeadership();
--- a/packages/node/src/Group.h
+++ b/packages/node/src/Group.h
@@ -72,6 +72,7 @@
   base::DaemonId leader() const;
   consensus::Term term() const;
   consensus::Membership membership() const;
+  consensus::Index lastIndex() const;
   const jobs::Table &table() const { return this->jobTable; }
 
   void propose(jobs::Command command, ProposalCallback decided = {});
@@ -105,6 +106,9 @@
   void apply(const consensus::Entry &entry);
   void load(const consensus::Snapshot &snapshot);
   void takeSnapshot();
+  /// Logs the membership if it has changed.
+  void logMembership();
+  std::uint64_t configurationVersion() const; ///< 0: there is none.
   void onStorage(daemon::CoreEvent event);
   void onOpened(std::uint64_t folderOpening, consensus::StoredState stored, base::TimePoint now);
   void stepAside(const std::string &reason, base::TimePoint now);
@@ -131,6 +135,7 @@
   consensus::Term barrierTerm = 0; ///< An empty batch of this term is in the log.
   consensus::Term readyTerm = 0;   ///< That batch is applied.
   bool isLeading = false;
+  consensus::Membership loggedMembership; ///< In the last log line.
   std::deque<Proposal> proposals;
   std::map<consensus::Index, Appended> appended;
   std::map<std::uint64_t, ConfirmationCallback> reads;
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -286,10 +286,6 @@
                                                   {"task", std::to_string(run.run.task.index)},
                                                   {"run", std::to_string(run.run.run)},
                                                   {"worker", run.worker}});
-    } else if (const auto *put = std::get_if<jobs::PutConfiguration>(&command)) {
-      base::logEvent(base::Event::ConfigurationInForce,
-                     {{"version", std::to_string(put->configuration.version)},
-                      {"queues", std::to_string(put->configuration.queues.size())}});
     }
   }
 }
--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-std::optional<consensus::Membership>
+std::optional<MembershipChange>
 MembershipPlanner::next(const consensus::Membership &current,
                         const membership::PeerDirectory &peerDirectory, base::DaemonId self,
                         std::size_t voterCount, base::TimePoint leaderSince,
@@ -53,7 +53,7 @@
     if (!peer.hasDisk || contains(current.voters, peer.id) || contains(current.learners, peer.id))
       continue;
     changed.learners.push_back(peer.id);
-    return changed;
+    return MembershipChange{changed, peer.id, "a standby is wanted"};
   }
   std::vector<consensus::ReplicaId> lost;
   const bool mayHaveHeardAll = now - leaderSince >= VoterLostTimeout;
@@ -68,17 +68,17 @@
         continue;
       remove(changed.learners, id);
       changed.voters.push_back(id);
-      return changed;
+      return MembershipChange{changed, id, "it takes the place of a lost voter"};
     }
   }
   if (current.voters.size() > voterCount && !lost.empty()) {
     remove(changed.voters, lost.front());
-    return changed;
+    return MembershipChange{changed, lost.front(), "the voter is lost"};
   }
   for (const consensus::ReplicaId id : current.learners) {
     if (peerDirectory.isSuperseded(id) || !peerDirectory.isLive(id, now, LearnerRemovalTimeout)) {
       remove(changed.learners, id);
-      return changed;
+      return MembershipChange{changed, id, "the learner is lost"};
     }
   }
   return std::nullopt;
--- a/packages/node/src/MembershipPlanner.h
+++ b/packages/node/src/MembershipPlanner.h
@@ -6,18 +6,25 @@
 #include "banyanrill/membership/PeerDirectory.h"
 
 #include <optional>
+#include <string_view>
 
 namespace banyanrill::node {
 
+/// A membership that differs from the current one in one node.
+struct MembershipChange {
+  consensus::Membership membership;
+  base::DaemonId node = base::NoDaemon; ///< The one that is added, promoted or removed.
+  std::string_view reason;              ///< For the log.
+};
+
 class MembershipPlanner {
 public:
-  /// Returns the next membership to propose, which differs from the current one in one node; empty
-  /// if no change is needed. `voterCount` is the wanted number of voters; `leaderSince` is when
-  /// this node began to lead. Thread-safe.
-  std::optional<consensus::Membership> next(const consensus::Membership &current,
-                                            const membership::PeerDirectory &peerDirectory,
-                                            base::DaemonId self, std::size_t voterCount,
-                                            base::TimePoint leaderSince, base::TimePoint now) const;
+  /// Returns the next change to propose; empty if none is needed. `voterCount` is the wanted number
+  /// of voters; `leaderSince` is when this node began to lead. Thread-safe.
+  std::optional<MembershipChange> next(const consensus::Membership &current,
+                                       const membership::PeerDirectory &peerDirectory,
+                                       base::DaemonId self, std::size_t voterCount,
+                                       base::TimePoint leaderSince, base::TimePoint now) const;
 };
 
 } // namespace banyanrill::node
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -284,17 +284,20 @@
     this->peerDirectory->setHasDisk(this->group->offersDisk(this->now));
     if (this->peerDirectory->isBootstrapping())
       this->bootstrapGroup();
+    this->logMissingMajority();
     if (this->group->isLeader() && this->now >= this->nextMembershipCheck) {
       this->nextMembershipCheck = this->now + MembershipCheckInterval;
       const std::size_t voters = std::max<std::size_t>(2 * this->options.toleratedFailures + 1, 1);
-      const std::optional<consensus::Membership> next =
+      const std::optional<MembershipChange> next =
           this->membershipPlanner.next(this->group->membership(), *this->peerDirectory,
                                        this->group->self(), voters, this->leaderSince, this->now);
-      if (next &&
-          this->group->proposeMembership(*next, this->now) == consensus::ProposeResult::Accepted)
+      if (next && this->group->proposeMembership(next->membership, this->now) ==
+                      consensus::ProposeResult::Accepted)
         base::logEvent(base::Event::MembershipProposed,
-                       {{"voters", std::to_string(next->voters.size())},
-                        {"learners", std::to_string(next->learners.size())},
+                       {{"node", std::to_string(next->node)},
+                        {"reason", std::string(next->reason)},
+                        {"voters", std::to_string(next->membership.voters.size())},
+                        {"learners", std::to_string(next->membership.learners.size())},
                         {"term", std::to_string(this->group->term())}});
       this->updateAdvisers();
       this->proposeMemberAddresses();
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -102,6 +102,7 @@
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextMembershipCheck = base::TimePoint::min();
   base::TimePoint leaderSince = base::TimePoint::min();
+  base::TimePoint nextMajorityLog = base::TimePoint::min();
   std::optional<membership::KnownLeader> loggedLeader; ///< The leader in the last log line.
   std::int64_t suspendedMs = 0; ///< Total time that the machine has been suspended.
   PauseGuard pauseGuard;
@@ -186,6 +187,8 @@
   void updateKnownLeader();
   void proposeMemberAddresses();
   void bootstrapGroup();
+  /// While no leader is known, logs which voters are not heard from.
+  void logMissingMajority();
   jobs::Member memberOf(base::DaemonId id) const;
 };
 
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -21,6 +21,9 @@
 /// Concurrent calls with replica messages to one node; further messages wait and share a call.
 constexpr std::uint32_t MaxReplicaCallsInFlight = 3;
 
+/// Time without a leader between two log lines about the voters that are missing.
+constexpr base::Duration MajorityLogInterval = std::chrono::seconds(2);
+
 /// Replica messages queued for one node; the oldest are dropped, which the protocol tolerates like
 /// packet loss.
 constexpr std::size_t MaxOutbox = 256;
@@ -180,6 +183,34 @@
                                              {"known_disks", std::to_string(agreed->size())}});
 }
 
+void Node::State::logMissingMajority() {
+  if (!this->group->isRunning() || this->group->leader() != base::NoDaemon ||
+      this->now < this->nextMajorityLog)
+    return;
+  this->nextMajorityLog = this->now + MajorityLogInterval;
+  std::string silent;
+  std::string withoutAddress;
+  std::size_t heard = 0;
+  const std::vector<consensus::ReplicaId> voters = this->group->membership().voters;
+  for (const consensus::ReplicaId id : voters) {
+    if (this->peerDirectory->isLive(id, this->now, MajorityLogInterval)) {
+      ++heard;
+      continue;
+    }
+    std::string &list = this->memberOf(id).address.empty() ? withoutAddress : silent;
+    list += (list.empty() ? "" : ",") + std::to_string(id);
+  }
+  if (heard > voters.size() / 2)
+    return;
+  base::logEvent(base::Event::NoMajorityHeard,
+                 {{"voters", std::to_string(voters.size())},
+                  {"heard", std::to_string(heard)},
+                  {"silent", silent},
+                  {"without_address", withoutAddress},
+                  {"term", std::to_string(this->group->term())},
+                  {"last_index", std::to_string(this->group->lastIndex())}});
+}
+
 void Node::State::updateKnownLeader() {
   if (!this->group->isRunning())
     return;
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -262,6 +262,9 @@
   if (this->group) {
     line("storage_open", this->group->isOpen() ? 1 : 0);
     line("storage_failures_total", this->group->storageFailures());
+    line("voters", this->group->membership().voters.size());
+    line("learners", this->group->membership().learners.size());
+    line("last_index", this->group->lastIndex());
   }
   line("leads", this->group && this->group->isLeader() ? 1 : 0);
   line("knows_leader", this->peerDirectory->leader() ? 1 : 0);
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -27,9 +27,16 @@
   return peerDirectory;
 }
 
+std::optional<consensus::Membership> nextFor(const consensus::Membership &current,
+                                             const membership::PeerDirectory &peerDirectory,
+                                             base::TimePoint leaderSince) {
+  const auto change = MembershipPlanner().next(current, peerDirectory, 1, 3, leaderSince, Now);
+  return change ? std::optional(change->membership) : std::nullopt;
+}
+
 std::optional<consensus::Membership> nextFor(const consensus::Membership &current,
                                              const std::vector<base::DaemonId> &live) {
-  return MembershipPlanner().next(current, peerDirectoryWith(live), 1, 3, LongAgo, Now);
+  return nextFor(current, peerDirectoryWith(live), LongAgo);
 }
 
 } // namespace
@@ -61,8 +68,8 @@
 TEST(MembershipPlanner, NewLeaderTakesNoVoterForLostBeforeItCouldReport) {
   const membership::PeerDirectory peerDirectory = peerDirectoryWith({4});
   const consensus::Membership current = {{1, 2, 3}, {4}};
-  CHECK(!MembershipPlanner().next(current, peerDirectory, 1, 3, Now, Now));
-  CHECK(MembershipPlanner().next(current, peerDirectory, 1, 3, LongAgo, Now).has_value());
+  CHECK(!nextFor(current, peerDirectory, Now));
+  CHECK(nextFor(current, peerDirectory, LongAgo).has_value());
 }
 
 /// A voter whose disk had failed sent heartbeats as before and was never replaced.
@@ -72,11 +79,10 @@
   heartbeat.sender = peer(3);
   heartbeat.sender.hasDisk = false;
   peerDirectory.onHeartbeat(heartbeat, Now);
-  const auto promoted =
-      MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, LongAgo, Now);
+  const auto promoted = nextFor({{1, 2, 3}, {4}}, peerDirectory, LongAgo);
   CHECK(promoted.has_value());
   CHECK((promoted->voters == std::vector<consensus::ReplicaId>{1, 2, 3, 4}));
-  const auto removed = MembershipPlanner().next(*promoted, peerDirectory, 1, 3, LongAgo, Now);
+  const auto removed = nextFor(*promoted, peerDirectory, LongAgo);
   CHECK(removed.has_value());
   CHECK((removed->voters == std::vector<consensus::ReplicaId>{1, 2, 4}));
 }
@@ -87,7 +93,7 @@
   heartbeat.sender = peer(4);
   heartbeat.sender.hasDisk = false;
   peerDirectory.onHeartbeat(heartbeat, Now);
-  CHECK(!MembershipPlanner().next({{1, 2, 3}, {4}}, peerDirectory, 1, 3, LongAgo, Now));
+  CHECK(!nextFor({{1, 2, 3}, {4}}, peerDirectory, LongAgo));
 }
 
 TEST(MembershipPlanner, LearnerIsNotPromotedWhileAllVotersAreLive) {
