Show that a lost disk counts as a voter until the next ones are lost

A simulated cell (real replicas, peer directories and membership planner; simulated network, disks and clock) loses machines at random, never more disks at a time than it tolerates, a wiped one counting until CatchUpS after its return; then that many disks at once, while all other machines lose power. Afterwards a leader must be there within RecoveryS and hold all that was acknowledged. Sizes and bounds are the deployments'.

--- /dev/null
+++ b/packages/node/tests/FinalFaultTest.cpp
@@ -0,0 +1,179 @@
+// Guards against a cell that loses its majority, or an acknowledged change, although no more disks
+// were lost at a time than it tolerates.
+#include "SimulatedCell.h"
+
+#include <algorithm>
+#include <numeric>
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace banyanrill;
+using namespace banyanrill::node::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A cell, the time that a machine counts as lost after its return, and the time in which a cell
+/// has to recover; the two sizes are those of the deployments.
+struct Bounds {
+  CellOptions cell;
+  base::Duration catchUp;
+  base::Duration recovery;
+};
+
+const Bounds SmallCell = {{3, 6, 1}, std::chrono::seconds(4), std::chrono::seconds(12)};
+const Bounds GrownCell = {{6, 12, 2}, std::chrono::seconds(6), std::chrono::seconds(15)};
+
+/// The same on machines whose processors and disks are busy.
+Bounds busy(Bounds bounds) {
+  bounds.cell.maxDelayMs = 120;
+  bounds.cell.maxSyncMs = 100;
+  bounds.cell.maxTickMs = 120;
+  return bounds;
+}
+
+constexpr std::uint64_t MaxDownMs = 2500;
+
+/// Loses machines at random, never more disks at a time than the cell tolerates, and then those
+/// disks at once while all other machines lose power.
+class Day {
+public:
+  Day(std::uint64_t seed, Bounds dayBounds)
+      : bounds(dayBounds), cell(seed, dayBounds.cell),
+        lostUntil(dayBounds.cell.disks, base::TimePoint::min()) {}
+
+  /// Returns what went wrong, or nothing.
+  std::string play() {
+    this->pass(milliseconds(4000));
+    const std::uint64_t losses = 2 + this->cell.below(5);
+    for (std::uint64_t loss = 0; loss < losses; ++loss) {
+      this->lose();
+      this->pass(milliseconds(this->cell.below(this->cell.below(2) == 0 ? 1000 : 7000)));
+    }
+    this->awaitBudget();
+    this->before = "before the last fault:\n" + this->cell.describe() + "after it:\n";
+    this->lastFault();
+    this->cell.run(this->bounds.recovery);
+    return this->judge();
+  }
+
+private:
+  std::vector<std::size_t> soundDisks() const {
+    std::vector<std::size_t> sound;
+    for (std::size_t index = 0; index < this->bounds.cell.disks; ++index) {
+      if (this->cell.now >= this->lostUntil[index])
+        sound.push_back(index);
+    }
+    return sound;
+  }
+
+  std::size_t budget() const {
+    const std::size_t lost = this->bounds.cell.disks - this->soundDisks().size();
+    return lost >= this->bounds.cell.toleratedLosses ? 0 : this->bounds.cell.toleratedLosses - lost;
+  }
+
+  void pass(base::Duration duration) {
+    const base::TimePoint end = this->cell.now + duration;
+    while (this->cell.now < end) {
+      this->cell.propose();
+      this->cell.run(milliseconds(50));
+    }
+  }
+
+  void awaitBudget() {
+    while (this->budget() < this->bounds.cell.toleratedLosses)
+      this->cell.run(milliseconds(5));
+  }
+
+  void lose() {
+    std::vector<std::size_t> sound = this->soundDisks();
+    const std::optional<std::size_t> leader = this->cell.leader();
+    for (std::size_t left = this->budget(); left > 0 && !sound.empty(); --left) {
+      std::size_t chosen = sound[this->cell.below(sound.size())];
+      const bool hitsLeader = leader && this->cell.below(2) == 0 &&
+                              std::find(sound.begin(), sound.end(), *leader) != sound.end();
+      if (hitsLeader)
+        chosen = *leader;
+      sound.erase(std::find(sound.begin(), sound.end(), chosen));
+      const milliseconds down(100 + this->cell.below(MaxDownMs));
+      this->lostUntil[chosen] = this->cell.now + down + this->bounds.catchUp;
+      if (this->cell.below(3) == 0)
+        this->cell.stop(chosen, down);
+      else
+        this->cell.wipe(chosen, down);
+      if (this->cell.below(2) == 0)
+        return;
+    }
+  }
+
+  void lastFault() {
+    std::vector<std::size_t> disks(this->bounds.cell.disks);
+    std::iota(disks.begin(), disks.end(), std::size_t(0));
+    std::vector<std::size_t> wiped;
+    for (std::size_t i = 0; i < this->bounds.cell.toleratedLosses; ++i) {
+      const std::size_t position = this->cell.below(disks.size());
+      wiped.push_back(disks[position]);
+      disks.erase(disks.begin() + static_cast<std::ptrdiff_t>(position));
+    }
+    // The settings may name the machines that lose their disks, or machines without one.
+    std::vector<std::size_t> seeds = wiped;
+    while (seeds.size() < 3)
+      seeds.push_back(this->bounds.cell.disks + this->cell.below(this->bounds.cell.others));
+    this->cell.setSeeds(seeds);
+    for (std::size_t index = 0; index < this->bounds.cell.disks + this->bounds.cell.others;
+         ++index) {
+      const milliseconds down(500 + this->cell.below(1500));
+      if (std::find(wiped.begin(), wiped.end(), index) != wiped.end())
+        this->cell.wipe(index, down);
+      else
+        this->cell.stop(index, down);
+    }
+  }
+
+  std::string judge() const {
+    const std::optional<std::size_t> leader = this->cell.leader();
+    if (!leader)
+      return "no leader after the last fault\n" + this->before + this->cell.describe();
+    const std::set<std::string> &held = this->cell.at(*leader).process->values;
+    const std::set<std::string> &promised = this->cell.acknowledged();
+    if (!std::includes(held.begin(), held.end(), promised.begin(), promised.end()))
+      return "an acknowledged change is gone\n" + this->before + this->cell.describe();
+    return {};
+  }
+
+  Bounds bounds;
+  SimulatedCell cell;
+  std::vector<base::TimePoint> lostUntil; ///< Of each disk.
+  std::string before;                     ///< The replicas just before the last fault.
+};
+
+std::string failureOf(std::uint64_t seed, const Bounds &bounds) {
+  const std::string failure = Day(seed, bounds).play();
+  return failure.empty() ? failure : "seed " + std::to_string(seed) + ": " + failure;
+}
+
+void checkDays(const Bounds &bounds) {
+  CHECK(rc::check("a cell survives the loss of the disks that it tolerates", [&bounds] {
+    const auto seed =
+        *rc::gen::noShrink(rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
+    const std::string failure = failureOf(seed, bounds);
+    if (!failure.empty())
+      RC_FAIL(failure);
+  }));
+}
+
+} // namespace
+
+TEST_GROUP(FinalFault){};
+
+/// A machine that had lost its disk counted as sound again while the group still waited for its old
+/// vote; the next lost disks left no majority, for good.
+TEST(FinalFault, MeetsAGrownCellThatStillCountsLostDisksAsVoters) { checkDays(busy(GrownCell)); }
+
+TEST(FinalFault, MeetsASmallCellOnBusyMachines) { checkDays(busy(SmallCell)); }
+
+/// The same on machines that are not busy.
+TEST(FinalFault, MeetsAnIdleCellThatStillCountsALostDiskAsAVoter) {
+  STRCMP_EQUAL("", failureOf(3569287012144756072ULL, SmallCell).c_str());
+}
