Remove the vote of a lost disk at once, before anything else

Cause: a machine that has lost its disk counts as sound CatchUpS after its return, but the group could still wait for its old vote then. The leader took the evidence that the machine has another disk (another id reports from its address) for mere silence: it waited 1.6 s, again after each change of leader; it added a standby first; it promoted a learner, which has to be there and up to date, before it removed the old vote; and it looked only every 150 ms at the next of these steps. On busy machines, or after two elections, that is longer than CatchUpS. The next disks to be lost then leave fewer than a majority of a membership that still counts the first one, for good.

Now such a voter is removed first and without a wait: it can never vote again, and each of the others counts for at least as much without it. Then a learner takes the free vote, then standbys are added; the next change follows as soon as the one before is committed. A voter that is only silent is treated as before.

--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -1,9 +1,14 @@
 #include "MembershipPlanner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyanrill::node {
 
+using consensus::Membership;
+using consensus::ReplicaId;
+using membership::PeerDirectory;
+
 namespace {
 
 /// A voter that has sent no heartbeat for this long is lost: three heartbeat intervals.
@@ -12,76 +17,115 @@
 /// A learner that has sent no heartbeat for this long is removed.
 constexpr base::Duration LearnerRemovalTimeout = std::chrono::seconds(20);
 
-bool contains(const std::vector<consensus::ReplicaId> &ids, consensus::ReplicaId id) {
+bool contains(const std::vector<ReplicaId> &ids, ReplicaId id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-void remove(std::vector<consensus::ReplicaId> &ids, consensus::ReplicaId id) {
+void remove(std::vector<ReplicaId> &ids, ReplicaId id) {
   ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
 }
 
 /// Whether the node was heard from lately and its disk takes writes.
-bool isUsable(const membership::PeerDirectory &peerDirectory, consensus::ReplicaId id,
-              base::TimePoint now) {
-  const membership::PeerRecord *peer = peerDirectory.find(id);
-  return peer != nullptr && peer->hasDisk && peerDirectory.isLive(id, now, VoterLostTimeout);
+bool isUsable(const PeerDirectory &peers, ReplicaId id, base::TimePoint now) {
+  const membership::PeerRecord *peer = peers.find(id);
+  return peer != nullptr && peer->hasDisk && peers.isLive(id, now, VoterLostTimeout);
 }
 
-bool canBecomeVoter(const membership::PeerDirectory &peerDirectory, consensus::ReplicaId id,
-                    base::TimePoint now) {
-  return isUsable(peerDirectory, id, now) && !peerDirectory.find(id)->stopping;
+bool canBecomeVoter(const PeerDirectory &peers, ReplicaId id, base::TimePoint now) {
+  return isUsable(peers, id, now) && !peers.find(id)->stopping;
 }
 
-} // namespace
+MembershipChange withoutVoter(Membership membership, ReplicaId id, std::string_view reason) {
+  remove(membership.voters, id);
+  return {std::move(membership), id, reason};
+}
+
+/// A voter whose machine now runs under another id has lost its disk for good. Each of the others
+/// counts for at least as much without it.
+std::optional<MembershipChange> withoutSupersededVoter(const GroupView &group,
+                                                       const PeerDirectory &peers) {
+  for (const ReplicaId id : group.membership.voters) {
+    if (id != group.self && peers.isSuperseded(id))
+      return withoutVoter(group.membership, id, "its machine has another disk now");
+  }
+  return std::nullopt;
+}
+
+std::vector<ReplicaId> lostVoters(const GroupView &group, const PeerDirectory &peers,
+                                  base::TimePoint now) {
+  std::vector<ReplicaId> lost;
+  // Before that, followers may not have reported to this leader yet.
+  if (now - group.leaderSince < VoterLostTimeout)
+    return lost;
+  for (const ReplicaId id : group.membership.voters) {
+    if (id != group.self && !isUsable(peers, id, now))
+      lost.push_back(id);
+  }
+  return lost;
+}
 
 std::optional<MembershipChange>
-MembershipPlanner::next(const consensus::Membership &current,
-                        const membership::PeerDirectory &peerDirectory, base::DaemonId self,
-                        std::size_t voterCount, base::TimePoint leaderSince,
-                        base::TimePoint now) const {
-  consensus::Membership changed = current;
-  // Adds a live node with a disk as a learner, up to the wanted number of standbys: each learner
-  // costs the leader as much as a voter.
+withPromotedLearner(const GroupView &group, const PeerDirectory &peers, base::TimePoint now) {
+  for (const ReplicaId id : group.membership.learners) {
+    if (!canBecomeVoter(peers, id, now))
+      continue;
+    Membership changed = group.membership;
+    remove(changed.learners, id);
+    changed.voters.push_back(id);
+    return MembershipChange{std::move(changed), id, "it takes the place of a lost voter"};
+  }
+  return std::nullopt;
+}
+
+/// Adds a live node with a disk as a learner, up to the wanted number of standbys: each learner
+/// costs the leader as much as a voter.
+std::optional<MembershipChange> withNewStandby(const GroupView &group, const PeerDirectory &peers,
+                                               base::TimePoint now) {
+  const Membership &current = group.membership;
   const auto standbys = static_cast<std::size_t>(
-      std::count_if(current.learners.begin(), current.learners.end(), [&](consensus::ReplicaId id) {
-        return canBecomeVoter(peerDirectory, id, now);
-      }));
-  const std::size_t wantedStandbys = std::max<std::size_t>(voterCount / 2, 1);
-  for (const membership::PeerRecord &peer : peerDirectory.livePeers(now, VoterLostTimeout)) {
-    if (standbys >= wantedStandbys)
-      break;
+      std::count_if(current.learners.begin(), current.learners.end(),
+                    [&](ReplicaId id) { return canBecomeVoter(peers, id, now); }));
+  if (standbys >= std::max<std::size_t>(group.wantedVoters / 2, 1))
+    return std::nullopt;
+  for (const membership::PeerRecord &peer : peers.livePeers(now, VoterLostTimeout)) {
     if (!peer.hasDisk || contains(current.voters, peer.id) || contains(current.learners, peer.id))
       continue;
+    Membership changed = current;
     changed.learners.push_back(peer.id);
-    return MembershipChange{changed, peer.id, "a standby is wanted"};
-  }
-  std::vector<consensus::ReplicaId> lost;
-  const bool mayHaveHeardAll = now - leaderSince >= VoterLostTimeout;
-  for (const consensus::ReplicaId id : current.voters) {
-    if (mayHaveHeardAll && id != self && !isUsable(peerDirectory, id, now))
-      lost.push_back(id);
-  }
-  const std::size_t liveVoters = current.voters.size() - lost.size();
-  if (liveVoters < voterCount) {
-    for (const consensus::ReplicaId id : current.learners) {
-      if (!canBecomeVoter(peerDirectory, id, now))
-        continue;
-      remove(changed.learners, id);
-      changed.voters.push_back(id);
-      return MembershipChange{changed, id, "it takes the place of a lost voter"};
-    }
+    return MembershipChange{std::move(changed), peer.id, "a standby is wanted"};
   }
-  if (current.voters.size() > voterCount && !lost.empty()) {
-    remove(changed.voters, lost.front());
-    return MembershipChange{changed, lost.front(), "the voter is lost"};
-  }
-  for (const consensus::ReplicaId id : current.learners) {
-    if (peerDirectory.isSuperseded(id) || !peerDirectory.isLive(id, now, LearnerRemovalTimeout)) {
-      remove(changed.learners, id);
-      return MembershipChange{changed, id, "the learner is lost"};
-    }
+  return std::nullopt;
+}
+
+std::optional<MembershipChange>
+withoutLostLearner(const GroupView &group, const PeerDirectory &peers, base::TimePoint now) {
+  for (const ReplicaId id : group.membership.learners) {
+    if (!peers.isSuperseded(id) && peers.isLive(id, now, LearnerRemovalTimeout))
+      continue;
+    Membership changed = group.membership;
+    remove(changed.learners, id);
+    return MembershipChange{std::move(changed), id, "the learner is lost"};
   }
   return std::nullopt;
 }
 
+} // namespace
+
+std::optional<MembershipChange> MembershipPlanner::next(const GroupView &group,
+                                                        const PeerDirectory &peers,
+                                                        base::TimePoint now) const {
+  if (auto next = withoutSupersededVoter(group, peers))
+    return next;
+  const std::vector<ReplicaId> lost = lostVoters(group, peers, now);
+  if (group.membership.voters.size() - lost.size() < group.wantedVoters) {
+    if (auto next = withPromotedLearner(group, peers, now))
+      return next;
+  }
+  if (group.membership.voters.size() > group.wantedVoters && !lost.empty())
+    return withoutVoter(group.membership, lost.front(), "the voter is lost");
+  if (auto next = withNewStandby(group, peers, now))
+    return next;
+  return withoutLostLearner(group, peers, now);
+}
+
 } // namespace banyanrill::node
--- a/packages/node/src/MembershipPlanner.h
+++ b/packages/node/src/MembershipPlanner.h
@@ -17,14 +17,19 @@
   std::string_view reason;              ///< For the log.
 };
 
+/// The group as its leader sees it.
+struct GroupView {
+  consensus::Membership membership;
+  consensus::ReplicaId self = base::NoDaemon;
+  std::size_t wantedVoters = 1;
+  base::TimePoint leaderSince; ///< When this node began to lead.
+};
+
 class MembershipPlanner {
 public:
-  /// Returns the next change to propose; empty if none is needed. `voterCount` is the wanted number
-  /// of voters; `leaderSince` is when this node began to lead. Thread-safe.
-  std::optional<MembershipChange> next(const consensus::Membership &current,
-                                       const membership::PeerDirectory &peerDirectory,
-                                       base::DaemonId self, std::size_t voterCount,
-                                       base::TimePoint leaderSince, base::TimePoint now) const;
+  /// Returns the next change to propose; empty if none is needed. Thread-safe.
+  std::optional<MembershipChange>
+  next(const GroupView &group, const membership::PeerDirectory &peers, base::TimePoint now) const;
 };
 
 } // namespace banyanrill::node
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -18,9 +18,6 @@
 /// Tick of a node without a disk, which only sends heartbeats, and retries and expires requests.
 constexpr base::Duration TickWithoutDisk = std::chrono::milliseconds(100);
 
-/// How often the leader checks the group's membership.
-constexpr base::Duration MembershipCheckInterval = std::chrono::milliseconds(150);
-
 /// Large enough for configurations with thousands of queues.
 constexpr std::size_t MaxBodyBytes = std::size_t(4) * 1024 * 1024;
 
@@ -286,19 +283,7 @@
       this->bootstrapGroup();
     this->logMissingMajority();
     if (this->group->isLeader() && this->now >= this->nextMembershipCheck) {
-      this->nextMembershipCheck = this->now + MembershipCheckInterval;
-      const std::size_t voters = std::max<std::size_t>(2 * this->options.toleratedFailures + 1, 1);
-      const std::optional<MembershipChange> next =
-          this->membershipPlanner.next(this->group->membership(), *this->peerDirectory,
-                                       this->group->self(), voters, this->leaderSince, this->now);
-      if (next && this->group->proposeMembership(next->membership, this->now) ==
-                      consensus::ProposeResult::Accepted)
-        base::logEvent(base::Event::MembershipProposed,
-                       {{"node", std::to_string(next->node)},
-                        {"reason", std::string(next->reason)},
-                        {"voters", std::to_string(next->membership.voters.size())},
-                        {"learners", std::to_string(next->membership.learners.size())},
-                        {"term", std::to_string(this->group->term())}});
+      this->changeMembership();
       this->updateAdvisers();
       this->proposeMemberAddresses();
     }
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -185,6 +185,7 @@
   void sendHeartbeats();
   void sendReplicaMessages();
   void updateKnownLeader();
+  void changeMembership();
   void proposeMemberAddresses();
   void bootstrapGroup();
   /// While no leader is known, logs which voters are not heard from.
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -21,6 +21,9 @@
 /// Concurrent calls with replica messages to one node; further messages wait and share a call.
 constexpr std::uint32_t MaxReplicaCallsInFlight = 3;
 
+/// How often the leader checks the group's membership.
+constexpr base::Duration MembershipCheckInterval = std::chrono::milliseconds(150);
+
 /// Time without a leader between two log lines about the voters that are missing.
 constexpr base::Duration MajorityLogInterval = std::chrono::seconds(2);
 
@@ -225,6 +228,30 @@
   }
 }
 
+void Node::State::changeMembership() {
+  this->nextMembershipCheck = this->now + MembershipCheckInterval;
+  GroupView view;
+  view.membership = this->group->membership();
+  view.self = this->group->self();
+  view.wantedVoters = 2 * this->options.toleratedFailures + 1;
+  view.leaderSince = this->leaderSince;
+  const std::optional<MembershipChange> next =
+      this->membershipPlanner.next(view, *this->peerDirectory, this->now);
+  if (!next)
+    return;
+  // A replacement takes several changes, each as soon as the one before is committed.
+  this->nextMembershipCheck = this->now;
+  if (this->group->proposeMembership(next->membership, this->now) !=
+      consensus::ProposeResult::Accepted)
+    return;
+  base::logEvent(base::Event::MembershipProposed,
+                 {{"node", std::to_string(next->node)},
+                  {"reason", std::string(next->reason)},
+                  {"voters", std::to_string(next->membership.voters.size())},
+                  {"learners", std::to_string(next->membership.learners.size())},
+                  {"term", std::to_string(this->group->term())}});
+}
+
 void Node::State::proposeMemberAddresses() {
   const consensus::Membership membership = this->group->membership();
   const std::map<std::uint32_t, jobs::Member> &named = this->group->table().state().members;
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -30,7 +30,7 @@
 std::optional<consensus::Membership> nextFor(const consensus::Membership &current,
                                              const membership::PeerDirectory &peerDirectory,
                                              base::TimePoint leaderSince) {
-  const auto change = MembershipPlanner().next(current, peerDirectory, 1, 3, leaderSince, Now);
+  const auto change = MembershipPlanner().next({current, 1, 3, leaderSince}, peerDirectory, Now);
   return change ? std::optional(change->membership) : std::nullopt;
 }
 
@@ -109,3 +109,21 @@
   CHECK(next.has_value());
   CHECK((next->learners == std::vector<consensus::ReplicaId>{4, 5}));
 }
+
+/// The old vote of a machine whose disk was lost was waited for as long as that of a silent one.
+TEST(MembershipPlanner, VoterWhoseMachineHasAnotherDiskIsRemovedAtOnce) {
+  membership::PeerDirectory peerDirectory = peerDirectoryWith({2, 3});
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(5);
+  heartbeat.sender.address = peer(3).address;
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  const auto removed = nextFor({{1, 2, 3}, {}}, peerDirectory, Now);
+  CHECK(removed.has_value());
+  CHECK((removed->voters == std::vector<consensus::ReplicaId>{1, 2}));
+  const auto added = nextFor(*removed, peerDirectory, Now);
+  CHECK(added.has_value());
+  CHECK((added->learners == std::vector<consensus::ReplicaId>{5}));
+  const auto promoted = nextFor(*added, peerDirectory, Now);
+  CHECK(promoted.has_value());
+  CHECK((promoted->voters == std::vector<consensus::ReplicaId>{1, 2, 5}));
+}
--- a/packages/node/tests/SimulatedCell.cpp
+++ b/packages/node/tests/SimulatedCell.cpp
@@ -173,10 +173,13 @@
   process.nextMembershipCheck = this->now + MembershipCheckInterval;
   consensus::Replica &replica = *process.replica;
   const std::optional<MembershipChange> next =
-      MembershipPlanner().next(replica.membership(), *process.peers, process.peers->self().id,
-                               2 * this->cell.toleratedLosses + 1, *process.leaderSince, this->now);
-  if (next)
+      MembershipPlanner().next({replica.membership(), process.peers->self().id,
+                                2 * this->cell.toleratedLosses + 1, *process.leaderSince},
+                               *process.peers, this->now);
+  if (next) {
+    process.nextMembershipCheck = this->now;
     replica.proposeMembership(next->membership, this->now);
+  }
   const consensus::Membership membership = replica.membership();
   for (const std::vector<consensus::ReplicaId> *ids : {&membership.voters, &membership.learners}) {
     for (const consensus::ReplicaId id : *ids) {
