Promote a learner that is up to date, not the first one

The leader proposed the first usable learner for a free vote. While that one lagged (it had acknowledged nothing of the term: a hanging disk, a cut link) the replica answered Busy each time, and a learner behind it that was up to date was never tried, so the vote of a lost disk stayed counted. The replica names the learners that it would accept.

MembershipPlanner.LaggingLearnerDoesNotStandBeforeOneThatIsUpToDate is new; on the former code the planner named learner 4, which lags, since it could not know that.

--- a/packages/consensus/include/banyanrill/consensus/Replica.h
+++ b/packages/consensus/include/banyanrill/consensus/Replica.h
@@ -132,6 +132,8 @@
   Index lastIndex() const;
   /// The latest in the log, which is in force even before it is committed.
   const Membership &membership() const;
+  /// Learners that `proposeMembership` would accept as voters now; empty unless this replica leads.
+  std::vector<ReplicaId> caughtUpLearners() const;
   /// Membership in force at `index`, not before the last snapshot.
   const Membership &membershipAt(Index index) const;
 
--- a/packages/consensus/src/Replica.cpp
+++ b/packages/consensus/src/Replica.cpp
@@ -256,6 +256,19 @@
 Index Replica::lastIndex() const { return this->state->log.lastIndex(); }
 const Membership &Replica::membership() const { return this->state->memberships.current(); }
 
+std::vector<ReplicaId> Replica::caughtUpLearners() const {
+  std::vector<ReplicaId> caughtUp;
+  if (this->state->role != Role::Leader) {
+    return caughtUp;
+  }
+  for (const ReplicaId id : this->membership().learners) {
+    if (!isLagging(*this->state, id)) {
+      caughtUp.push_back(id);
+    }
+  }
+  return caughtUp;
+}
+
 const Membership &Replica::membershipAt(Index index) const {
   return this->state->memberships.at(index);
 }
--- a/packages/node/src/Group.cpp
+++ b/packages/node/src/Group.cpp
@@ -204,6 +204,11 @@
   return this->replica == nullptr ? consensus::Membership() : this->replica->membership();
 }
 
+std::vector<base::DaemonId> Group::caughtUpLearners() const {
+  return this->replica == nullptr ? std::vector<base::DaemonId>()
+                                  : this->replica->caughtUpLearners();
+}
+
 consensus::Index Group::lastIndex() const {
   return this->replica == nullptr ? 0 : this->replica->lastIndex();
 }
--- a/packages/node/src/Group.h
+++ b/packages/node/src/Group.h
@@ -72,6 +72,8 @@
   base::DaemonId leader() const;
   consensus::Term term() const;
   consensus::Membership membership() const;
+  /// Empty unless this node leads.
+  std::vector<base::DaemonId> caughtUpLearners() const;
   consensus::Index lastIndex() const;
   const jobs::Table &table() const { return this->jobTable; }
 
--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -66,7 +66,7 @@
 
 std::optional<MembershipChange>
 withPromotedLearner(const GroupView &group, const PeerDirectory &peers, base::TimePoint now) {
-  for (const ReplicaId id : group.membership.learners) {
+  for (const ReplicaId id : group.caughtUpLearners) {
     if (!canBecomeVoter(peers, id, now))
       continue;
     Membership changed = group.membership;
--- a/packages/node/src/MembershipPlanner.h
+++ b/packages/node/src/MembershipPlanner.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace banyanrill::node {
 
@@ -20,6 +21,8 @@
 /// The group as its leader sees it.
 struct GroupView {
   consensus::Membership membership;
+  /// Learners that could take a vote now without holding up commits.
+  std::vector<consensus::ReplicaId> caughtUpLearners;
   consensus::ReplicaId self = base::NoDaemon;
   std::size_t wantedVoters = 1;
   base::TimePoint leaderSince; ///< When this node began to lead.
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -232,6 +232,7 @@
   this->nextMembershipCheck = this->now + MembershipCheckInterval;
   GroupView view;
   view.membership = this->group->membership();
+  view.caughtUpLearners = this->group->caughtUpLearners();
   view.self = this->group->self();
   view.wantedVoters = 2 * this->options.toleratedFailures + 1;
   view.leaderSince = this->leaderSince;
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -30,7 +30,8 @@
 std::optional<consensus::Membership> nextFor(const consensus::Membership &current,
                                              const membership::PeerDirectory &peerDirectory,
                                              base::TimePoint leaderSince) {
-  const auto change = MembershipPlanner().next({current, 1, 3, leaderSince}, peerDirectory, Now);
+  const auto change =
+      MembershipPlanner().next({current, current.learners, 1, 3, leaderSince}, peerDirectory, Now);
   return change ? std::optional(change->membership) : std::nullopt;
 }
 
@@ -127,3 +128,11 @@
   CHECK(promoted.has_value());
   CHECK((promoted->voters == std::vector<consensus::ReplicaId>{1, 2, 5}));
 }
+
+/// A learner that took nothing stood before one that was up to date, and the vote stayed empty.
+TEST(MembershipPlanner, LaggingLearnerDoesNotStandBeforeOneThatIsUpToDate) {
+  const auto change = MembershipPlanner().next({{{1, 2, 3}, {4, 5}}, {5}, 1, 3, LongAgo},
+                                               peerDirectoryWith({2, 4, 5}), Now);
+  CHECK(change.has_value());
+  CHECK((change->membership.voters == std::vector<consensus::ReplicaId>{1, 2, 3, 5}));
+}
--- a/packages/node/tests/SimulatedCell.cpp
+++ b/packages/node/tests/SimulatedCell.cpp
@@ -172,10 +172,10 @@
 void SimulatedCell::changeMembership(Process &process) {
   process.nextMembershipCheck = this->now + MembershipCheckInterval;
   consensus::Replica &replica = *process.replica;
-  const std::optional<MembershipChange> next =
-      MembershipPlanner().next({replica.membership(), process.peers->self().id,
-                                2 * this->cell.toleratedLosses + 1, *process.leaderSince},
-                               *process.peers, this->now);
+  const std::optional<MembershipChange> next = MembershipPlanner().next(
+      {replica.membership(), replica.caughtUpLearners(), process.peers->self().id,
+       2 * this->cell.toleratedLosses + 1, *process.leaderSince},
+      *process.peers, this->now);
   if (next) {
     process.nextMembershipCheck = this->now;
     replica.proposeMembership(next->membership, this->now);
