Let one of two rival candidates step back

Cause: after the loss of one of three disks both others are needed to elect. If their timers fire within a round trip, each grants the other's pre-vote, both go on, each votes for itself, and the next attempt comes only after another election timeout of up to 1.1 s; on slow links that happened several times in a row, while the lost disk waited for a leader to replace it and nothing was answered.

A replica that asks for pre-votes itself now refuses a rival with an equal log and a lower id, and steps back for one with a higher id. With unequal logs the vote was never split: the shorter log gets no vote of the longer one. A rival that hears no answers holds up nobody for longer than one round trip, since followers do not step back for it.

Not tried: a shorter timeout for the next attempt.

--- a/packages/consensus/src/Election.cpp
+++ b/packages/consensus/src/Election.cpp
@@ -38,6 +38,13 @@
   return free && state.log.isCoveredBy(message.logIndex, message.logTerm);
 }
 
+/// Whether this replica and the sender ask for pre-votes at the same time with equal logs. If both
+/// went on, each would vote for itself, and where both votes are needed nobody would be elected.
+bool isRival(const ReplicaState &state, const Message &message) {
+  return state.role == Role::PreCandidate && message.logIndex == state.log.lastIndex() &&
+         message.logTerm == state.log.lastTerm();
+}
+
 void countVote(ReplicaState &state, ReplicaId voter) {
   state.votes.insert(voter);
   if (!isMajority(state, state.votes)) {
@@ -80,8 +87,12 @@
 
 void handlePreVoteRequest(ReplicaState &state, const Message &message) {
   Message response = makeMessage(state, MessageKind::PreVoteResponse, message.from);
-  const bool granted =
-      message.term >= state.hardState.term && !hearsLeader(state) && mayVoteFor(state, message);
+  const bool rivals = isRival(state, message);
+  const bool granted = message.term >= state.hardState.term && !hearsLeader(state) &&
+                       mayVoteFor(state, message) && !(rivals && message.from < state.options.self);
+  if (granted && rivals) {
+    becomeFollower(state, state.hardState.term, base::NoDaemon);
+  }
   response.reject = !granted;
   if (granted) {
     response.term = message.term;
--- a/packages/consensus/tests/ElectionTest.cpp
+++ b/packages/consensus/tests/ElectionTest.cpp
@@ -127,3 +127,25 @@
     CHECK(network.awaitLeader() != banyanrill::base::NoDaemon);
   }
 }
+
+// Two replicas whose votes are both needed asked at the same time, each voted for itself, and the
+// group stayed without a leader for another election timeout, again and again.
+TEST(Election, rivalsWithEqualLogsDoNotSplitTheVote) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    Network network(seed, 3, {.maxDelay = 150});
+    const ReplicaId former = network.awaitLeader();
+    const Term before = network.at(former).term();
+    network.crash(former);
+    const ReplicaId next = network.awaitLeader();
+    CHECK_EQUAL(before + 1, network.at(next).term());
+  }
+}
+
+TEST(Election, preCandidateStepsBackForARivalWithAHigherId) {
+  Driver driver;
+  driver.wait(std::chrono::milliseconds(2000));
+  driver.settle();
+  driver.receive(MessageKind::PreVoteRequest, 2, 1);
+  CHECK(!driver.settle().at(0).reject);
+  CHECK(driver.replica.role() == Role::Follower);
+}
--- a/packages/node/tests/FinalFaultTest.cpp
+++ b/packages/node/tests/FinalFaultTest.cpp
@@ -177,3 +177,8 @@
 TEST(FinalFault, MeetsAnIdleCellThatStillCountsALostDiskAsAVoter) {
   STRCMP_EQUAL("", failureOf(3569287012144756072ULL, SmallCell).c_str());
 }
+
+/// Split votes kept a small cell without a leader until its lost disk was no longer its only one.
+TEST(FinalFault, MeetsASmallCellWhoseRivalsSplitTheVote) {
+  STRCMP_EQUAL("", failureOf(9817916137807327198ULL, busy(SmallCell)).c_str());
+}
