--- a/tests/soak/Machines.cpp
+++ b/tests/soak/Machines.cpp
@@ -27,9 +27,11 @@
 } // namespace
 
 Machine::Machine(std::string daemonProgram, std::filesystem::path ownFolder, std::size_t number,
-                 bool withDisk, Ports allPorts, std::string advisoryService)
+                 bool withDisk, Ports allPorts, std::string advisoryService,
+                 std::size_t toleratedDiskLosses)
     : hasDisk(withDisk), program(std::move(daemonProgram)), folder(std::move(ownFolder)),
-      index(number), ports(allPorts), advice(std::move(advisoryService)) {
+      index(number), ports(allPorts), advice(std::move(advisoryService)),
+      toleratedLosses(toleratedDiskLosses) {
   std::filesystem::create_directories(this->folder / "data");
 }
 
@@ -55,8 +57,9 @@
          << this->ports.front << "\nListenAddresses.Ready=" << this->ip() << ':'
          << this->ports.ready << "\nListenAddresses.Control=" << this->ip() << ':'
          << this->ports.control << "\nInternalPortRange=" << this->ports.peer << ','
-         << this->ports.peer + 3 << "\nFaultTolerance.Machines=1\nAdvice=" << this->advice
-         << "\nBootstrap=" << (firstStart ? "true" : "false") << "\nSeedNodes=";
+         << this->ports.peer + 3 << "\nFaultTolerance.Machines=" << this->toleratedLosses
+         << "\nAdvice=" << this->advice << "\nBootstrap=" << (firstStart ? "true" : "false")
+         << "\nSeedNodes=";
     for (std::size_t seed = 0; seed < seeds.size(); ++seed)
       file << (seed > 0 ? "," : "") << seeds[seed];
     file << '\n';
--- a/tests/soak/Machines.h
+++ b/tests/soak/Machines.h
@@ -21,7 +21,8 @@
 class Machine {
 public:
   Machine(std::string daemonProgram, std::filesystem::path ownFolder, std::size_t number,
-          bool withDisk, Ports allPorts, std::string advisoryService);
+          bool withDisk, Ports allPorts, std::string advisoryService,
+          std::size_t toleratedDiskLosses);
   ~Machine();
   Machine(const Machine &) = delete;
   Machine &operator=(const Machine &) = delete;
@@ -64,6 +65,7 @@
   std::size_t index;
   Ports ports;
   std::string advice;
+  std::size_t toleratedLosses;
   pid_t pid = 0;
   pid_t hungThread = 0; ///< Stopped by `hangDisk`.
   bool isDiskFull = false;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,6 +1,7 @@
-// soak SEED SECONDS PROGRAM: runs real daemons as processes of their own, injects faults from
-// outside and checks the promises that callers and workers see: what was accepted is known and
+// soak SEED SECONDS PROGRAM [grown]: runs real daemons as processes of their own, injects faults
+// from outside and checks the promises that callers and workers see: what was accepted is known and
 // ends, no task runs twice, and the configuration is never older than one that was acknowledged.
+// At the end as many disks are lost as the cell tolerates, and all other processes are killed.
 // Exit code 1: a promise was broken; the folder with the logs is kept and named.
 #include "FakePlatform.h"
 #include "Machines.h"
@@ -16,6 +17,8 @@
 #include <filesystem>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <numeric>
+#include <optional>
 #include <thread>
 #include <unistd.h>
 
@@ -27,12 +30,19 @@
 
 namespace {
 
-constexpr std::size_t Disks = 3;
-constexpr std::size_t Machines = 5;
 constexpr std::size_t Workers = 4;
 
-/// A machine that was lost counts as lost until it has caught up.
-constexpr seconds CatchUp(4);
+/// The machines of a cell and its bounds, as on the deployments.
+struct CellSize {
+  std::size_t disks;           ///< Machines with a disk; they come first.
+  std::size_t machines;        ///< All of them.
+  std::size_t toleratedLosses; ///< Disks that may be lost at the same time.
+  seconds catchUp;             ///< A machine that was lost counts as lost until it has caught up.
+  seconds recovery;            ///< From the return of all machines to a cell that answers.
+};
+
+constexpr CellSize SmallCell = {3, 5, 1, seconds(4), seconds(12)};
+constexpr CellSize GrownCell = {6, 38, 2, seconds(6), seconds(15)};
 
 /// An accepted job is known everywhere, and a change in force, after this time.
 constexpr milliseconds VisibleAfter(3000);
@@ -54,6 +64,12 @@
 /// Disks have draws of their own, so that the other faults of a seed stay the same.
 constexpr std::uint64_t DiskSeedOffset = 1000000;
 
+/// The last fault has draws of its own as well.
+constexpr std::uint64_t LastFaultSeedOffset = 2000000;
+
+/// All machines are back this long after the last fault, in any order.
+constexpr std::uint64_t MaxLastDownMs = 2000;
+
 struct AcceptedJob {
   Clock::time_point at;
   bool isDone = false;
@@ -61,16 +77,18 @@
 
 class Soak {
 public:
-  Soak(std::uint64_t seed, const std::string &program)
-      : random(seed), diskRandom(seed + DiskSeedOffset) {
+  Soak(std::uint64_t seed, const std::string &program, CellSize cellSize)
+      : size(cellSize), random(seed), diskRandom(seed + DiskSeedOffset),
+        lastFaultRandom(seed + LastFaultSeedOffset), resumeAt(cellSize.machines),
+        diskHealsAt(cellSize.disks) {
     std::string name = "/tmp/banyanrill-soak-" + std::to_string(seed) + "-XXXXXX";
     this->folder = mkdtemp(name.data());
     const std::vector<std::uint16_t> free = platform::test::freePorts(4);
     const soak::Ports ports{free[0], free[1], free[2], free[3]};
-    for (std::size_t index = 0; index < Machines; ++index) {
-      this->machines.push_back(
-          std::make_unique<soak::Machine>(program, this->folder / std::to_string(index), index,
-                                          index < Disks, ports, this->users.advisoryService()));
+    for (std::size_t index = 0; index < this->size.machines; ++index) {
+      this->machines.push_back(std::make_unique<soak::Machine>(
+          program, this->folder / std::to_string(index), index, index < this->size.disks, ports,
+          this->users.advisoryService(), this->size.toleratedLosses));
       const soak::Machine &machine = *this->machines.back();
       this->fronts.push_back(
           std::make_unique<soak::Proxy>("127.0.0.1", 0, machine.ip(), ports.front));
@@ -84,7 +102,7 @@
                                      "127.0.0.1:" + std::to_string(this->workers.back()->port()));
     }
     this->control = ports.control;
-    for (std::size_t index = 0; index < Disks; ++index)
+    for (std::size_t index = 0; index < 3; ++index)
       this->seeds.push_back(this->machines[index]->seedAddress());
     for (const auto &machine : this->machines)
       machine->start(this->seeds, true);
@@ -102,6 +120,8 @@
       std::this_thread::sleep_for(milliseconds(20));
     }
     this->heal();
+    if (this->broken.empty())
+      this->lastFault();
     const bool ended = this->eventually([this] { return this->allDone(); }, SettleTime);
     if (!ended)
       this->fail("an accepted job did not end: " + this->firstOpenJob());
@@ -110,7 +130,7 @@
     // Killed one after the other, so that the others see their connections break.
     for (const auto &machine : this->machines)
       machine->kill();
-    for (std::size_t index = 0; index < Machines; ++index)
+    for (std::size_t index = 0; index < this->size.machines; ++index)
       this->noteOwnEnd(index);
     std::printf("%zu jobs accepted, %zu faults, configuration %d, %zu starts\n", this->jobs.size(),
                 this->faults, this->acknowledged, this->users.starts());
@@ -152,14 +172,15 @@
 
   http::CallResult callFront(const std::string &method, const std::string &path,
                              const std::string &body = {}) {
-    return this->call("127.0.0.1", this->fronts[this->random.below(Machines)]->port(), method, path,
-                      body);
+    return this->call("127.0.0.1", this->fronts[this->random.below(this->size.machines)]->port(),
+                      method, path, body);
   }
 
   http::CallResult callControl(const std::string &method, const std::string &path,
                                const std::string &body = {}) {
-    http::CallResult result = this->call(this->machines[this->random.below(Machines)]->ip(),
-                                         this->control, method, path, body);
+    http::CallResult result =
+        this->call(this->machines[this->random.below(this->size.machines)]->ip(), this->control,
+                   method, path, body);
     for (int hop = 0; hop < 2 && result.response.status == 307; ++hop) {
       const auto [host, port] = platform::test::redirectTarget(result.response);
       result = this->call(host, port, method, path, body);
@@ -271,7 +292,7 @@
   /// Starts processes that have ended, as the platform does.
   void watch() {
     const auto now = Clock::now();
-    for (std::size_t index = 0; index < Machines; ++index) {
+    for (std::size_t index = 0; index < this->size.machines; ++index) {
       soak::Machine &machine = *this->machines[index];
       if (machine.isPaused && now >= this->resumeAt[index]) {
         machine.signal(SIGCONT);
@@ -289,17 +310,24 @@
       this->fail("process " + std::to_string(index) + " ended by itself");
   }
 
-  /// Whether another machine with a disk is lost, cut off or still catching up.
-  bool aDiskIsLost(std::size_t except) {
-    for (std::size_t index = 0; index < Disks; ++index) {
+  /// Whether so many other machines with a disk are lost, cut off or still catching up that no more
+  /// may be lost.
+  bool noMoreMayBeLost(std::size_t except) {
+    return this->lostDisks(except) >= this->size.toleratedLosses;
+  }
+
+  std::size_t lostDisks(std::optional<std::size_t> except) {
+    std::size_t lost = 0;
+    for (std::size_t index = 0; index < this->size.disks; ++index) {
       soak::Machine &machine = *this->machines[index];
       if (this->peers[index]->isHarmed())
         machine.upSince = Clock::now();
-      if (index != except && (!machine.isAlive() || machine.isPaused || machine.isTold ||
-                              machine.isDiskHarmed || Clock::now() - machine.upSince < CatchUp))
-        return true;
+      if (index != except &&
+          (!machine.isAlive() || machine.isPaused || machine.isTold || machine.isDiskHarmed ||
+           Clock::now() - machine.upSince < this->size.catchUp))
+        ++lost;
     }
-    return false;
+    return lost;
   }
 
   void harm() {
@@ -307,7 +335,7 @@
       return;
     this->nextFault = Clock::now() + milliseconds(this->random.below(MaxPauseMs));
     ++this->faults;
-    const std::size_t index = this->random.below(Machines);
+    const std::size_t index = this->random.below(this->size.machines);
     const auto fault = static_cast<soak::LinkFault>(this->random.below(6));
     switch (this->random.below(8)) {
     case 0:
@@ -325,7 +353,7 @@
     }
     if (this->random.below(25) == 0) {
       // All processes at once; their disks stay.
-      for (std::size_t each = 0; each < Machines; ++each) {
+      for (std::size_t each = 0; each < this->size.machines; ++each) {
         this->machines[each]->kill();
         this->resumeAt[each] = Clock::now() + milliseconds(500);
       }
@@ -333,7 +361,7 @@
     }
     soak::Machine &machine = *this->machines[index];
     if (!machine.isAlive() || machine.isPaused || machine.isTold ||
-        (machine.hasDisk && this->aDiskIsLost(index)))
+        (machine.hasDisk && this->noMoreMayBeLost(index)))
       return;
     this->resumeAt[index] = Clock::now() + milliseconds(100 + this->random.below(MaxDownMs));
     switch (this->random.below(5)) {
@@ -360,19 +388,19 @@
 
   void harmDisks() {
     const auto now = Clock::now();
-    for (std::size_t index = 0; index < Disks; ++index) {
+    for (std::size_t index = 0; index < this->size.disks; ++index) {
       if (this->machines[index]->isDiskHarmed && now >= this->diskHealsAt[index])
         this->machines[index]->healDisk();
     }
     if (now < this->nextDiskFault)
       return;
     this->nextDiskFault = now + milliseconds(this->diskRandom.below(MaxDiskPauseMs));
-    const std::size_t index = this->diskRandom.below(Disks);
+    const std::size_t index = this->diskRandom.below(this->size.disks);
     const bool fills = this->diskRandom.below(3) != 0;
     const milliseconds time(200 + this->diskRandom.below(fills ? MaxFullMs : MaxHangMs));
     soak::Machine &machine = *this->machines[index];
     if (!machine.isAlive() || machine.isPaused || machine.isTold || machine.isDiskHarmed ||
-        this->aDiskIsLost(index))
+        this->noMoreMayBeLost(index))
       return;
     ++this->faults;
     this->diskHealsAt[index] = now + time;
@@ -383,18 +411,57 @@
   }
 
   void heal() {
-    for (std::size_t index = 0; index < Disks; ++index)
+    for (std::size_t index = 0; index < this->size.disks; ++index)
       this->machines[index]->healDisk();
     for (const auto *links : {&this->fronts, &this->peers, &this->workers}) {
       for (const auto &link : *links)
         link->setFault(soak::LinkFault::None);
     }
-    this->resumeAt = {};
+    this->resumeAt.assign(this->size.machines, {});
     this->watch();
   }
 
+  /// Right after a configuration was acknowledged, the tolerated number of disks is lost, and all
+  /// other processes are killed. The settings name the machines that lost their disks.
+  void lastFault() {
+    const bool isWhole = this->eventually(
+        [this] { return this->lostDisks(std::nullopt) == 0 && this->configure(); }, SettleTime);
+    if (!isWhole) {
+      this->fail("no configuration was acknowledged before the last fault");
+      return;
+    }
+    std::vector<std::size_t> disks(this->size.disks);
+    std::iota(disks.begin(), disks.end(), std::size_t(0));
+    this->seeds = {this->machines.back()->seedAddress()};
+    const auto struck = Clock::now();
+    for (const auto &machine : this->machines)
+      machine->kill();
+    for (std::size_t left = this->size.toleratedLosses; left > 0; --left) {
+      const auto chosen =
+          disks.begin() + static_cast<std::ptrdiff_t>(this->lastFaultRandom.below(disks.size()));
+      this->machines[*chosen]->wipeDisk();
+      this->seeds.push_back(this->machines[*chosen]->seedAddress());
+      disks.erase(chosen);
+    }
+    for (Clock::time_point &resume : this->resumeAt)
+      resume = struck + milliseconds(this->lastFaultRandom.below(MaxLastDownMs));
+    ++this->faults;
+    const bool isBack = this->eventually([this] { return this->configurationIsRead(); },
+                                         this->size.recovery + seconds(MaxLastDownMs / 1000));
+    if (!isBack)
+      this->fail("the configuration did not come after the last fault");
+  }
+
+  bool configurationIsRead() {
+    const http::CallResult result = this->callControl("GET", "/v1/config");
+    return result.verdict == base::Verdict::Ran && result.response.status == 200 &&
+           json::parse(result.response.body).value("Version", 0) >= this->acknowledged;
+  }
+
+  const CellSize size;
   base::RandomSource random;
   base::RandomSource diskRandom;
+  base::RandomSource lastFaultRandom;
   std::filesystem::path folder;
   platform::test::FakePlatform users{Workers};
   std::vector<std::unique_ptr<soak::Machine>> machines;
@@ -405,8 +472,8 @@
   std::uint16_t control = 0;
   std::unique_ptr<http::Client> client;
   std::map<std::string, AcceptedJob> jobs;
-  std::array<Clock::time_point, Machines> resumeAt = {};
-  std::array<Clock::time_point, Disks> diskHealsAt = {};
+  std::vector<Clock::time_point> resumeAt;
+  std::vector<Clock::time_point> diskHealsAt;
   Clock::time_point nextDiskFault = Clock::now() + seconds(2);
   Clock::time_point nextFault = Clock::now() + seconds(2);
   std::set<std::size_t> reported;
@@ -429,9 +496,10 @@
 int main(int argc, char **argv) {
   std::uint64_t seed = 0;
   std::uint64_t duration = 0;
-  if (argc != 4 || !readNumber(argv[1], seed) || !readNumber(argv[2], duration)) {
-    std::fprintf(stderr, "usage: soak SEED SECONDS PROGRAM\n");
+  const bool isGrown = argc == 5 && std::string(argv[4]) == "grown";
+  if ((argc != 4 && !isGrown) || !readNumber(argv[1], seed) || !readNumber(argv[2], duration)) {
+    std::fprintf(stderr, "usage: soak SEED SECONDS PROGRAM [grown]\n");
     return 2;
   }
-  return Soak(seed, argv[3]).run(seconds(duration));
+  return Soak(seed, argv[3], isGrown ? GrownCell : SmallCell).run(seconds(duration));
 }
