Refuse a rival candidate only while the own round may be under way

The refusal now ends half an election timeout after the own request, longer than a round trip on the links that the rule was made for; the higher id still goes on where both ask at once.

Election.rivalThatCannotWinDoesNotBlockOneThatCan failed on the former code and passes; rivalsWithEqualLogsDoNotSplitTheVote still does (test_consensus 52 of 52).

--- a/packages/consensus/src/Election.cpp
+++ b/packages/consensus/src/Election.cpp
@@ -40,11 +40,19 @@
 
 /// Whether this replica and the sender ask for pre-votes at the same time with equal logs. If both
 /// went on, each would vote for itself, and where both votes are needed nobody would be elected.
+/// The higher id goes on; either would do.
 bool isRival(const ReplicaState &state, const Message &message) {
   return state.role == Role::PreCandidate && message.logIndex == state.log.lastIndex() &&
          message.logTerm == state.log.lastTerm();
 }
 
+/// A pre-candidate refuses a rival only while its own round may still be under way: one that cannot
+/// win must not hold up one that can.
+bool refusesRival(const ReplicaState &state, const Message &message) {
+  return message.from < state.options.self &&
+         state.now - state.preVoteStarted < state.options.electionTimeoutMin / 2;
+}
+
 void countVote(ReplicaState &state, ReplicaId voter) {
   state.votes.insert(voter);
   if (!isMajority(state, state.votes)) {
@@ -61,6 +69,7 @@
 
 void startPreVote(ReplicaState &state) {
   state.role = Role::PreCandidate;
+  state.preVoteStarted = state.now;
   state.leader = base::NoDaemon;
   state.votes.clear();
   if (!state.hasHeardLeader)
@@ -89,7 +98,7 @@
   Message response = makeMessage(state, MessageKind::PreVoteResponse, message.from);
   const bool rivals = isRival(state, message);
   const bool granted = message.term >= state.hardState.term && !hearsLeader(state) &&
-                       mayVoteFor(state, message) && !(rivals && message.from < state.options.self);
+                       mayVoteFor(state, message) && !(rivals && refusesRival(state, message));
   if (granted && rivals) {
     becomeFollower(state, state.hardState.term, base::NoDaemon);
   }
--- a/packages/consensus/src/ReplicaState.h
+++ b/packages/consensus/src/ReplicaState.h
@@ -56,6 +56,7 @@
   bool hasHeardLeader = false; ///< Since the start, or has led.
   /// Pre-votes begun since the start before a leader was heard of.
   std::uint32_t earlyPreVotes = 0;
+  base::TimePoint preVoteStarted{}; ///< Of the last round.
   base::TimePoint electionDeadline{};
 
   // Candidates.
--- a/packages/consensus/tests/ElectionTest.cpp
+++ b/packages/consensus/tests/ElectionTest.cpp
@@ -149,3 +149,21 @@
   CHECK(!driver.settle().at(0).reject);
   CHECK(driver.replica.role() == Role::Follower);
 }
+
+// Of three replicas whose votes are all needed, only the one that reaches both others can win; a
+// rival that cannot win must not refuse it for good.
+TEST(Election, rivalThatCannotWinDoesNotBlockOneThatCan) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Network network(seed, 5);
+    const ReplicaId former = network.awaitLeader();
+    network.run(std::chrono::seconds(1));
+    network.crash(former);
+    network.crash(former == 1 ? 2 : 1);
+    // The remaining ones with the highest ids.
+    const ReplicaId highest = former == 5 ? 4 : 5;
+    const ReplicaId second = former >= 4 ? 3 : 4;
+    network.block(highest, second);
+    network.run(std::chrono::seconds(30));
+    CHECK(network.leader() != banyanrill::base::NoDaemon);
+  }
+}
