Take a machine's disk for replaced only after two messages, and leave a majority

Found by the review: a single late heartbeat of an ended process made its former id the holder of the address, the live voter there was removed at once, and the directory ignored it for the life of the process. Now a voter is removed at once only if the other id was heard twice; one that took over an address and then falls silent for 2 s gives it back to the one that still reports; and a removal without a replacement never goes below a majority of the wanted voters, since a group of fewer would acknowledge on fewer disks than may be lost.

--- a/packages/membership/include/banyanrill/membership/PeerDirectory.h
+++ b/packages/membership/include/banyanrill/membership/PeerDirectory.h
@@ -106,6 +106,9 @@
   bool isLive(base::DaemonId id, base::TimePoint now, base::Duration within) const;
   /// Returns whether a daemon with another identifier now uses the address of `id`.
   bool isSuperseded(base::DaemonId id) const;
+  /// The same, and that daemon has sent more than one message: a single one may be late, from a
+  /// process that has ended.
+  bool isReplaced(base::DaemonId id) const;
   std::vector<PeerRecord> livePeers(base::TimePoint now, base::Duration within) const;
 
 private:
@@ -115,10 +118,13 @@
     bool bootstrapping = false;
     std::vector<base::DaemonId> bootstrapMembers;
     bool superseded = false;
+    std::uint32_t contacts = 0; ///< Messages from the daemon itself; stops at `ConfirmingContacts`.
   };
 
   void recordContact(const PeerRecord &record, base::TimePoint now);
   void addIndirect(const PeerRecord &record);
+  /// The daemon that was heard last at the address; null if none was.
+  const Peer *holderOf(const std::string &address) const;
   std::vector<base::DaemonId> daemonsWithDisk() const;
 
   PeerDirectoryOptions options;
--- a/packages/membership/src/PeerDirectory.cpp
+++ b/packages/membership/src/PeerDirectory.cpp
@@ -19,6 +19,13 @@
 /// Maximum age of a peer's proposal for the initial members.
 constexpr base::Duration MaxProposalAge = std::chrono::milliseconds(1000);
 
+/// Messages after which a new daemon at an address has certainly taken it over.
+constexpr std::uint32_t ConfirmingContacts = 2;
+
+/// A daemon that took over an address and is silent for this long, four heartbeats to the leader,
+/// was an ended one whose message came late.
+constexpr base::Duration HolderTimeout = std::chrono::milliseconds(2000);
+
 /// Limit of the directory. When it is full, the peer with the oldest contact is evicted.
 constexpr std::size_t MaxPeers = 1024;
 
@@ -113,10 +120,16 @@
     this->peers.erase(oldest);
   }
   Peer &peer = this->peers[record.id];
-  if (peer.superseded)
-    return; // A heartbeat that was in flight when its sender was replaced.
+  if (peer.superseded) {
+    // A heartbeat that was in flight when its sender was replaced.
+    const Peer *holder = this->holderOf(peer.record.address);
+    if (holder != nullptr && now - holder->lastContact < HolderTimeout)
+      return;
+    peer.superseded = false;
+  }
   peer.record = record;
   peer.lastContact = now;
+  peer.contacts = std::min(peer.contacts + 1, ConfirmingContacts);
   for (auto &[id, other] : this->peers) {
     if (id != record.id && other.record.address == record.address)
       other.superseded = true;
@@ -238,6 +251,22 @@
          now - found->second.lastContact <= within;
 }
 
+const PeerDirectory::Peer *PeerDirectory::holderOf(const std::string &address) const {
+  for (const auto &[id, peer] : this->peers) {
+    if (peer.record.address == address && !peer.superseded && peer.contacts > 0)
+      return &peer;
+  }
+  return nullptr;
+}
+
+bool PeerDirectory::isReplaced(base::DaemonId id) const {
+  const auto found = this->peers.find(id);
+  if (found == this->peers.end() || !found->second.superseded)
+    return false;
+  const Peer *holder = this->holderOf(found->second.record.address);
+  return holder != nullptr && holder->contacts >= ConfirmingContacts;
+}
+
 bool PeerDirectory::isSuperseded(base::DaemonId id) const {
   const auto found = this->peers.find(id);
   return found != this->peers.end() && found->second.superseded;
--- a/packages/membership/tests/PeerDirectoryTest.cpp
+++ b/packages/membership/tests/PeerDirectoryTest.cpp
@@ -129,3 +129,20 @@
   CHECK_EQUAL(0U, diskless.takeDueAddresses(after(50)).size());
   CHECK_EQUAL(1U, diskless.takeDueAddresses(after(300)).size());
 }
+
+/// A message of an ended process that came last made the directory ignore the present one for good.
+TEST(PeerDirectory, LateHeartbeatOfAFormerIdentifierDoesNotSilenceThePresentOne) {
+  PeerDirectory first = directoryOf(1, true);
+  PeerHeartbeat fresh;
+  fresh.sender = peer(9, true);
+  fresh.sender.address = peer(2, true).address;
+  first.onHeartbeat(fresh, after(100));
+  PeerHeartbeat late;
+  late.sender = peer(2, true);
+  first.onHeartbeat(late, after(200));
+  CHECK(!first.isReplaced(9));
+  for (int time = 700; time <= 2700; time += 500)
+    first.onHeartbeat(fresh, after(time));
+  CHECK(!first.isSuperseded(9));
+  CHECK(first.isReplaced(2));
+}
--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -40,12 +40,15 @@
   return {std::move(membership), id, reason};
 }
 
-/// A voter whose machine now runs under another id has lost its disk for good. Each of the others
-/// counts for at least as much without it.
-std::optional<MembershipChange> withoutSupersededVoter(const GroupView &group,
-                                                       const PeerDirectory &peers) {
+/// A voter whose machine runs under another id has most probably lost its disk for good. Each of
+/// the others then counts for at least as much without it. A majority of the wanted voters stays,
+/// so that an entry is never acknowledged by fewer disks than the tolerated losses.
+std::optional<MembershipChange> withoutReplacedVoter(const GroupView &group,
+                                                     const PeerDirectory &peers) {
+  if (group.membership.voters.size() <= group.wantedVoters / 2 + 1)
+    return std::nullopt;
   for (const ReplicaId id : group.membership.voters) {
-    if (id != group.self && peers.isSuperseded(id))
+    if (id != group.self && peers.isReplaced(id))
       return withoutVoter(group.membership, id, "its machine has another disk now");
   }
   return std::nullopt;
@@ -114,7 +117,7 @@
 std::optional<MembershipChange> MembershipPlanner::next(const GroupView &group,
                                                         const PeerDirectory &peers,
                                                         base::TimePoint now) const {
-  if (auto next = withoutSupersededVoter(group, peers))
+  if (auto next = withoutReplacedVoter(group, peers))
     return next;
   const std::vector<ReplicaId> lost = lostVoters(group, peers, now);
   if (group.membership.voters.size() - lost.size() < group.wantedVoters) {
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -1,4 +1,5 @@
-// Guards against a group that keeps a lost voter, or removes one before its replacement is a voter.
+// Guards against a group that keeps a lost voter, or removes one that may only be silent before its
+// replacement is a voter.
 #include "../src/MembershipPlanner.h"
 
 #include <CppUTest/TestHarness.h>
@@ -118,6 +119,9 @@
   heartbeat.sender = peer(5);
   heartbeat.sender.address = peer(3).address;
   peerDirectory.onHeartbeat(heartbeat, Now);
+  // One heartbeat may be a late one of an ended process.
+  CHECK((nextFor({{1, 2, 3}, {}}, peerDirectory, Now)->voters.size() == 3));
+  peerDirectory.onHeartbeat(heartbeat, Now);
   const auto removed = nextFor({{1, 2, 3}, {}}, peerDirectory, Now);
   CHECK(removed.has_value());
   CHECK((removed->voters == std::vector<consensus::ReplicaId>{1, 2}));
@@ -136,3 +140,31 @@
   CHECK(change.has_value());
   CHECK((change->membership.voters == std::vector<consensus::ReplicaId>{1, 2, 3, 5}));
 }
+
+/// A heartbeat of the old id that comes last must not cost the group the vote of the new one.
+TEST(MembershipPlanner, LiveVoterStaysAfterALateHeartbeatOfItsMachinesFormerId) {
+  membership::PeerDirectory peerDirectory = peerDirectoryWith({2});
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(5);
+  heartbeat.sender.address = peer(3).address;
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  membership::PeerHeartbeat late;
+  late.sender = peer(3);
+  peerDirectory.onHeartbeat(late, Now);
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  const auto change = nextFor({{1, 2, 5}, {}}, peerDirectory, LongAgo);
+  CHECK(!change || (change->voters == std::vector<consensus::ReplicaId>{1, 2, 5}));
+}
+
+/// Without this floor a leader that took all others for replaced would go on alone.
+TEST(MembershipPlanner, ReplacedVotersLeaveAMajorityOfTheWantedOnes) {
+  membership::PeerDirectory peerDirectory = peerDirectoryWith({3});
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(5);
+  heartbeat.sender.address = peer(3).address;
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  const auto change = nextFor({{1, 3}, {5}}, peerDirectory, LongAgo);
+  CHECK(change.has_value());
+  CHECK((change->voters == std::vector<consensus::ReplicaId>{1, 3, 5}));
+}
