Let a lagging learner keep no other disk out while a vote is free

While a vote is free only learners that could take it count; the number of learners is bounded.

MembershipPlanner.LaggingLearnerDoesNotKeepAnotherDiskOut (the reviewer's) failed before.

--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -17,6 +17,9 @@
 /// A learner that has sent no heartbeat for this long is removed.
 constexpr base::Duration LearnerRemovalTimeout = std::chrono::seconds(20);
 
+/// Learners of a group, the lost ones included.
+constexpr std::size_t MaxLearners = 8;
+
 bool contains(const std::vector<ReplicaId> &ids, ReplicaId id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -80,15 +83,22 @@
   return std::nullopt;
 }
 
+std::size_t countStandbys(const std::vector<ReplicaId> &learners, const PeerDirectory &peers,
+                          base::TimePoint now) {
+  return static_cast<std::size_t>(
+      std::count_if(learners.begin(), learners.end(),
+                    [&](ReplicaId id) { return canBecomeVoter(peers, id, now); }));
+}
+
 /// Adds a live node with a disk as a learner, up to the wanted number of standbys: each learner
-/// costs the leader as much as a voter.
+/// costs the leader as much as a voter. While a vote is free, only those count that could take it.
 std::optional<MembershipChange> withNewStandby(const GroupView &group, const PeerDirectory &peers,
-                                               base::TimePoint now) {
+                                               bool voteIsFree, base::TimePoint now) {
   const Membership &current = group.membership;
-  const auto standbys = static_cast<std::size_t>(
-      std::count_if(current.learners.begin(), current.learners.end(),
-                    [&](ReplicaId id) { return canBecomeVoter(peers, id, now); }));
-  if (standbys >= std::max<std::size_t>(group.wantedVoters / 2, 1))
+  const std::size_t standbys =
+      countStandbys(voteIsFree ? group.caughtUpLearners : current.learners, peers, now);
+  if (standbys >= std::max<std::size_t>(group.wantedVoters / 2, 1) ||
+      current.learners.size() >= MaxLearners)
     return std::nullopt;
   for (const membership::PeerRecord &peer : peers.livePeers(now, VoterLostTimeout)) {
     if (!peer.hasDisk || contains(current.voters, peer.id) || contains(current.learners, peer.id))
@@ -120,13 +130,14 @@
   if (auto next = withoutReplacedVoter(group, peers))
     return next;
   const std::vector<ReplicaId> lost = lostVoters(group, peers, now);
-  if (group.membership.voters.size() - lost.size() < group.wantedVoters) {
+  const bool voteIsFree = group.membership.voters.size() - lost.size() < group.wantedVoters;
+  if (voteIsFree) {
     if (auto next = withPromotedLearner(group, peers, now))
       return next;
   }
   if (group.membership.voters.size() > group.wantedVoters && !lost.empty())
     return withoutVoter(group.membership, lost.front(), "the voter is lost");
-  if (auto next = withNewStandby(group, peers, now))
+  if (auto next = withNewStandby(group, peers, voteIsFree, now))
     return next;
   return withoutLostLearner(group, peers, now);
 }
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -168,3 +168,12 @@
   CHECK(change.has_value());
   CHECK((change->voters == std::vector<consensus::ReplicaId>{1, 3, 5}));
 }
+
+/// A learner that takes nothing, but whose heartbeats come, must not keep another disk out of the
+/// group while a vote is free.
+TEST(MembershipPlanner, LaggingLearnerDoesNotKeepAnotherDiskOut) {
+  const auto change = MembershipPlanner().next({{{1, 2}, {4}}, {}, 1, 3, LongAgo},
+                                               peerDirectoryWith({2, 4, 5}), Now);
+  CHECK(change.has_value());
+  CHECK_EQUAL(5U, change->node);
+}
