Learn a member's address also where another daemon answers now

Found by the review: a leader that had just started and heard the new id of a machine first dropped the address of the old member that the log names, so it never saw that the old vote was lost and took the slow way (1.6 s, standby, promotion, removal). The address is kept now; the next message of the present daemon shows that the member is gone.

The leader also looks at the next change at once only while one is under way, not when a proposal was refused, and keeps its 150 ms for addresses and advisers.

--- a/packages/membership/src/PeerDirectory.cpp
+++ b/packages/membership/src/PeerDirectory.cpp
@@ -200,12 +200,14 @@
 
 void PeerDirectory::learnAddress(base::DaemonId id, const std::string &address,
                                  const std::string &region) {
-  PeerRecord record;
+  if (id == base::NoDaemon || address == this->options.self.address || this->peers.count(id) != 0)
+    return;
+  // Also at an address that another daemon uses: its next message shows that this member is gone.
+  PeerRecord &record = this->peers[id].record;
   record.id = id;
   record.address = address;
   record.region = region;
   record.hasDisk = true;
-  this->addIndirect(record);
 }
 
 std::optional<std::vector<base::DaemonId>>
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -18,6 +18,9 @@
 /// Tick of a node without a disk, which only sends heartbeats, and retries and expires requests.
 constexpr base::Duration TickWithoutDisk = std::chrono::milliseconds(100);
 
+/// How often the leader looks for new addresses of members and for nodes that may ask for advice.
+constexpr base::Duration MemberUpdateInterval = std::chrono::milliseconds(150);
+
 /// Large enough for configurations with thousands of queues.
 constexpr std::size_t MaxBodyBytes = std::size_t(4) * 1024 * 1024;
 
@@ -282,8 +285,10 @@
     if (this->peerDirectory->isBootstrapping())
       this->bootstrapGroup();
     this->logMissingMajority();
-    if (this->group->isLeader() && this->now >= this->nextMembershipCheck) {
+    if (this->group->isLeader() && this->now >= this->nextMembershipCheck)
       this->changeMembership();
+    if (this->group->isLeader() && this->now >= this->nextMemberUpdate) {
+      this->nextMemberUpdate = this->now + MemberUpdateInterval;
       this->updateAdvisers();
       this->proposeMemberAddresses();
     }
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -101,6 +101,7 @@
                                                     ///< or a suspension.
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextMembershipCheck = base::TimePoint::min();
+  base::TimePoint nextMemberUpdate = base::TimePoint::min();
   base::TimePoint leaderSince = base::TimePoint::min();
   base::TimePoint nextMajorityLog = base::TimePoint::min();
   std::optional<membership::KnownLeader> loggedLeader; ///< The leader in the last log line.
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -240,10 +240,13 @@
       this->membershipPlanner.next(view, *this->peerDirectory, this->now);
   if (!next)
     return;
+  const consensus::ProposeResult result =
+      this->group->proposeMembership(next->membership, this->now);
   // A replacement takes several changes, each as soon as the one before is committed.
-  this->nextMembershipCheck = this->now;
-  if (this->group->proposeMembership(next->membership, this->now) !=
-      consensus::ProposeResult::Accepted)
+  if (result == consensus::ProposeResult::Accepted ||
+      result == consensus::ProposeResult::MembershipChangePending)
+    this->nextMembershipCheck = this->now;
+  if (result != consensus::ProposeResult::Accepted)
     return;
   base::logEvent(base::Event::MembershipProposed,
                  {{"node", std::to_string(next->node)},
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -177,3 +177,18 @@
   CHECK(change.has_value());
   CHECK_EQUAL(5U, change->node);
 }
+
+/// A leader that had just started heard the new id of a machine before it learned from the log that
+/// the old one was there, and never saw that the old vote was lost.
+TEST(MembershipPlanner, VoterIsRemovedAtOnceThoughItsMachineWasHeardBeforeItsAddressWasLearned) {
+  membership::PeerDirectory peerDirectory = peerDirectoryWith({2});
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(5);
+  heartbeat.sender.address = peer(3).address;
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  peerDirectory.learnAddress(3, peer(3).address, "r");
+  peerDirectory.onHeartbeat(heartbeat, Now);
+  const auto removed = nextFor({{1, 2, 3}, {}}, peerDirectory, Now);
+  CHECK(removed.has_value());
+  CHECK((removed->voters == std::vector<consensus::ReplicaId>{1, 2}));
+}
