--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -44,8 +44,8 @@
 }
 
 /// A voter whose machine runs under another id has most probably lost its disk for good. Each of
-/// the others then counts for at least as much without it. A majority of the wanted voters stays,
-/// so that an entry is never acknowledged by fewer disks than the tolerated losses.
+/// the others then counts for at least as much without it. A majority of the wanted voters stays;
+/// below that, acknowledged entries would be on too few disks.
 std::optional<MembershipChange> withoutReplacedVoter(const GroupView &group,
                                                      const PeerDirectory &peers) {
   if (group.membership.voters.size() <= group.wantedVoters / 2 + 1)
