Use one check for what is learned of other daemons

Cause: learnAddress had got a copy of addIndirect's check, without its comparison with the own id.

Change: both call isNewPeer; learnAddress still goes on at an address that is in use.

Measured: PeerDirectory.OwnFormerAddressNamesNoPeer fails on the commit before and passes; test_membership 10 of 10, test_node 29 of 29.

--- a/packages/membership/include/banyanrill/membership/PeerDirectory.h
+++ b/packages/membership/include/banyanrill/membership/PeerDirectory.h
@@ -122,6 +122,8 @@
   };
 
   void recordContact(const PeerRecord &record, base::TimePoint now);
+  /// Whether the record names a daemon that is neither this one nor known.
+  bool isNewPeer(const PeerRecord &record) const;
   void addIndirect(const PeerRecord &record);
   /// The daemon that was heard last at the address; null if none was.
   const Peer *holderOf(const std::string &address) const;
--- a/packages/membership/src/PeerDirectory.cpp
+++ b/packages/membership/src/PeerDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace banyanrill::membership {
 
@@ -94,11 +95,13 @@
   return heartbeat;
 }
 
+bool PeerDirectory::isNewPeer(const PeerRecord &record) const {
+  return record.id != base::NoDaemon && record.id != this->options.self.id &&
+         record.address != this->options.self.address && this->peers.count(record.id) == 0;
+}
+
 void PeerDirectory::addIndirect(const PeerRecord &record) {
-  if (record.id == base::NoDaemon || record.id == this->options.self.id ||
-      record.address == this->options.self.address)
-    return;
-  if (this->peers.count(record.id) != 0)
+  if (!this->isNewPeer(record))
     return;
   // Indirect information does not replace a peer that is already known at this address.
   for (const auto &[id, peer] : this->peers) {
@@ -200,14 +203,14 @@
 
 void PeerDirectory::learnAddress(base::DaemonId id, const std::string &address,
                                  const std::string &region) {
-  if (id == base::NoDaemon || address == this->options.self.address || this->peers.count(id) != 0)
-    return;
-  // Also at an address that another daemon uses: its next message shows that this member is gone.
-  PeerRecord &record = this->peers[id].record;
+  PeerRecord record;
   record.id = id;
   record.address = address;
   record.region = region;
   record.hasDisk = true;
+  // Also at an address that another daemon uses: its next message shows that this member is gone.
+  if (this->isNewPeer(record))
+    this->peers[id].record = std::move(record);
 }
 
 std::optional<std::vector<base::DaemonId>>
--- a/packages/membership/tests/PeerDirectoryTest.cpp
+++ b/packages/membership/tests/PeerDirectoryTest.cpp
@@ -146,3 +146,10 @@
   CHECK(!first.isSuperseded(9));
   CHECK(first.isReplaced(2));
 }
+
+/// A daemon whose own address has changed took its former one from the log for another daemon's.
+TEST(PeerDirectory, OwnFormerAddressNamesNoPeer) {
+  PeerDirectory first = directoryOf(1, true);
+  first.learnAddress(1, peer(2, true).address, "r");
+  CHECK(first.find(1) == nullptr);
+}
