Let the simulated cell use the timers and the rule of the node

The simulated cell had its own copy of the replica's timers and of the interval between two checks of the membership, and checked again at once also after a refused proposal, which the node does not: the copy had drifted already. Now ReplicaTiming.h holds the timers, and MembershipPlanner.h the interval and the rule when to go on; Group, Peers and the cell call them.

--- a/packages/node/src/Group.cpp
+++ b/packages/node/src/Group.cpp
@@ -1,5 +1,6 @@
 #include "Group.h"
 
+#include "ReplicaTiming.h"
 #include "banyanrill/base/EventLog.h"
 #include "banyanrill/wire/PeerCodec.h"
 
@@ -24,18 +25,6 @@
 /// Uncommitted entries in flight; further proposals wait and share the next entry.
 constexpr std::size_t MaxEntriesInFlight = 4;
 
-consensus::ReplicaOptions replicaOptions(base::DaemonId self) {
-  consensus::ReplicaOptions options;
-  options.self = self;
-  // An election must end well within the leases of running tasks, and callers wait for it.
-  options.heartbeatInterval = std::chrono::milliseconds(120);
-  options.electionTimeoutMin = std::chrono::milliseconds(600);
-  options.electionTimeoutMax = std::chrono::milliseconds(1100);
-  options.firstElectionTimeoutMin = std::chrono::milliseconds(150);
-  options.firstElectionTimeoutMax = std::chrono::milliseconds(500);
-  return options;
-}
-
 std::string joined(const std::vector<base::DaemonId> &ids) {
   std::string text;
   for (const base::DaemonId id : ids)
--- a/packages/node/src/MembershipPlanner.cpp
+++ b/packages/node/src/MembershipPlanner.cpp
@@ -124,6 +124,11 @@
 
 } // namespace
 
+bool isUnderWay(consensus::ProposeResult result) {
+  return result == consensus::ProposeResult::Accepted ||
+         result == consensus::ProposeResult::MembershipChangePending;
+}
+
 std::optional<MembershipChange> MembershipPlanner::next(const GroupView &group,
                                                         const PeerDirectory &peers,
                                                         base::TimePoint now) const {
--- a/packages/node/src/MembershipPlanner.h
+++ b/packages/node/src/MembershipPlanner.h
@@ -2,7 +2,7 @@
 // lost voters. Pure: one decision at a time.
 #pragma once
 
-#include "banyanrill/consensus/Message.h"
+#include "banyanrill/consensus/Replica.h"
 #include "banyanrill/membership/PeerDirectory.h"
 
 #include <optional>
@@ -11,6 +11,13 @@
 
 namespace banyanrill::node {
 
+/// How often the leader checks the group's membership while no change is under way.
+constexpr base::Duration MembershipCheckInterval = std::chrono::milliseconds(150);
+
+/// Whether a change is under way after this proposal. A replacement takes several, so the leader
+/// checks again at once, and goes on as soon as this one is committed. Pure and thread-safe.
+bool isUnderWay(consensus::ProposeResult result);
+
 /// A membership that differs from the current one in one node.
 struct MembershipChange {
   consensus::Membership membership;
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -21,9 +21,6 @@
 /// Concurrent calls with replica messages to one node; further messages wait and share a call.
 constexpr std::uint32_t MaxReplicaCallsInFlight = 3;
 
-/// How often the leader checks the group's membership.
-constexpr base::Duration MembershipCheckInterval = std::chrono::milliseconds(150);
-
 /// Time without a leader between two log lines about the voters that are missing.
 constexpr base::Duration MajorityLogInterval = std::chrono::seconds(2);
 
@@ -242,9 +239,7 @@
     return;
   const consensus::ProposeResult result =
       this->group->proposeMembership(next->membership, this->now);
-  // A replacement takes several changes, each as soon as the one before is committed.
-  if (result == consensus::ProposeResult::Accepted ||
-      result == consensus::ProposeResult::MembershipChangePending)
+  if (isUnderWay(result))
     this->nextMembershipCheck = this->now;
   if (result != consensus::ProposeResult::Accepted)
     return;
--- a/packages/node/tests/SimulatedCell.cpp
+++ b/packages/node/tests/SimulatedCell.cpp
@@ -1,5 +1,7 @@
 #include "SimulatedCell.h"
 
+#include "../src/ReplicaTiming.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,21 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TimeStep(5);
-constexpr milliseconds MembershipCheckInterval(150);
 constexpr const char *MemberPrefix = "member ";
 
-/// The timers of a node's replica.
-consensus::ReplicaOptions replicaOptions(consensus::ReplicaId self) {
-  consensus::ReplicaOptions options;
-  options.self = self;
-  options.heartbeatInterval = milliseconds(120);
-  options.electionTimeoutMin = milliseconds(600);
-  options.electionTimeoutMax = milliseconds(1100);
-  options.firstElectionTimeoutMin = milliseconds(150);
-  options.firstElectionTimeoutMax = milliseconds(500);
-  return options;
-}
-
 void store(consensus::StoredState &disk, const consensus::Output &output) {
   if (output.hardState)
     disk.hardState = *output.hardState;
@@ -176,10 +165,8 @@
       {replica.membership(), replica.caughtUpLearners(), process.peers->self().id,
        2 * this->cell.toleratedLosses + 1, *process.leaderSince},
       *process.peers, this->now);
-  if (next) {
+  if (next && isUnderWay(replica.proposeMembership(next->membership, this->now)))
     process.nextMembershipCheck = this->now;
-    replica.proposeMembership(next->membership, this->now);
-  }
   const consensus::Membership membership = replica.membership();
   for (const std::vector<consensus::ReplicaId> *ids : {&membership.voters, &membership.learners}) {
     for (const consensus::ReplicaId id : *ids) {
