Join the numbers of daemons in one place

Group.cpp had got a copy of the joined() of MembershipHistory.cpp, and the log line on silent voters built such a list a third time; base::joined serves the three. The text of event 2013 said voter, but a replica that is none yet writes it as well.

--- a/packages/base/include/banyanrill/base/Identifier.h
+++ b/packages/base/include/banyanrill/base/Identifier.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace banyanrill::base {
 
@@ -26,6 +27,9 @@
 using DaemonId = std::uint32_t;
 inline constexpr DaemonId NoDaemon = 0;
 
+/// The numbers, separated by commas. Pure and thread-safe.
+std::string joined(const std::vector<DaemonId> &ids);
+
 /// One task of a job. A replacement of a failed task has the same identifier and a higher attempt.
 struct TaskId {
   JobId job;
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -46,7 +46,7 @@
     {2012, Severity::Info, "membership_in_force",
      "The members of the group, as this replica has them."},
     {2013, Severity::Warning, "no_majority_heard",
-     "This voter knows no leader and has not heard from a majority lately."},
+     "This replica knows no leader and has not heard from a majority lately."},
     {3001, Severity::Info, "owner_assigned", "The leader named the owner of a worker."},
     {3002, Severity::Info, "worker_adopted", "This daemon is now the owner of a worker."},
     {3003, Severity::Warning, "worker_grant_expired", "A worker stopped polling its owner."},
--- a/packages/consensus/src/MembershipHistory.cpp
+++ b/packages/consensus/src/MembershipHistory.cpp
@@ -16,14 +16,6 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-std::string joined(const std::vector<ReplicaId> &ids) {
-  std::string text;
-  for (const ReplicaId id : ids) {
-    text += (text.empty() ? "" : ",") + std::to_string(id);
-  }
-  return text;
-}
-
 bool parseList(std::string_view text, std::vector<ReplicaId> &ids) {
   while (!text.empty()) {
     ReplicaId id = base::NoDaemon;
@@ -58,7 +50,7 @@
 } // namespace
 
 std::string encodeMembership(const Membership &membership) {
-  return joined(membership.voters) + ";" + joined(membership.learners);
+  return base::joined(membership.voters) + ";" + base::joined(membership.learners);
 }
 
 std::optional<Membership> decodeMembership(const std::string &text) {
--- a/packages/node/src/Group.cpp
+++ b/packages/node/src/Group.cpp
@@ -25,13 +25,6 @@
 /// Uncommitted entries in flight; further proposals wait and share the next entry.
 constexpr std::size_t MaxEntriesInFlight = 4;
 
-std::string joined(const std::vector<base::DaemonId> &ids) {
-  std::string text;
-  for (const base::DaemonId id : ids)
-    text += (text.empty() ? "" : ",") + std::to_string(id);
-  return text;
-}
-
 /// Only this program writes log entries. Skipping an unreadable one and applying later entries
 /// would make this replica diverge from the others.
 [[noreturn]] void abortOnUnreadableEntry(const base::Error &error) {
@@ -151,8 +144,8 @@
     return;
   this->loggedMembership = membership;
   base::logEvent(base::Event::MembershipInForce,
-                 {{"voters", joined(membership.voters)},
-                  {"learners", joined(membership.learners)},
+                 {{"voters", base::joined(membership.voters)},
+                  {"learners", base::joined(membership.learners)},
                   {"last_index", std::to_string(this->replica->lastIndex())},
                   {"commit_index", std::to_string(this->replica->commitIndex())},
                   {"term", std::to_string(this->replica->term())}});
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -188,8 +188,8 @@
       this->now < this->nextMajorityLog)
     return;
   this->nextMajorityLog = this->now + MajorityLogInterval;
-  std::string silent;
-  std::string withoutAddress;
+  std::vector<base::DaemonId> silent;
+  std::vector<base::DaemonId> withoutAddress;
   std::size_t heard = 0;
   const std::vector<consensus::ReplicaId> voters = this->group->membership().voters;
   for (const consensus::ReplicaId id : voters) {
@@ -197,16 +197,15 @@
       ++heard;
       continue;
     }
-    std::string &list = this->memberOf(id).address.empty() ? withoutAddress : silent;
-    list += (list.empty() ? "" : ",") + std::to_string(id);
+    (this->memberOf(id).address.empty() ? withoutAddress : silent).push_back(id);
   }
   if (heard > voters.size() / 2)
     return;
   base::logEvent(base::Event::NoMajorityHeard,
                  {{"voters", std::to_string(voters.size())},
                   {"heard", std::to_string(heard)},
-                  {"silent", silent},
-                  {"without_address", withoutAddress},
+                  {"silent", base::joined(silent)},
+                  {"without_address", base::joined(withoutAddress)},
                   {"term", std::to_string(this->group->term())},
                   {"last_index", std::to_string(this->group->lastIndex())}});
 }
--- a/packages/node/tests/MembershipPlannerTest.cpp
+++ b/packages/node/tests/MembershipPlannerTest.cpp
@@ -28,6 +28,14 @@
   return peerDirectory;
 }
 
+/// A heartbeat of another daemon from the address of `former`.
+membership::PeerHeartbeat heartbeatFromAddressOf(base::DaemonId former, base::DaemonId id) {
+  membership::PeerHeartbeat heartbeat;
+  heartbeat.sender = peer(id);
+  heartbeat.sender.address = peer(former).address;
+  return heartbeat;
+}
+
 std::optional<consensus::Membership> nextFor(const consensus::Membership &current,
                                              const membership::PeerDirectory &peerDirectory,
                                              base::TimePoint leaderSince) {
@@ -115,9 +123,7 @@
 /// The old vote of a machine whose disk was lost was waited for as long as that of a silent one.
 TEST(MembershipPlanner, VoterWhoseMachineHasAnotherDiskIsRemovedAtOnce) {
   membership::PeerDirectory peerDirectory = peerDirectoryWith({2, 3});
-  membership::PeerHeartbeat heartbeat;
-  heartbeat.sender = peer(5);
-  heartbeat.sender.address = peer(3).address;
+  const membership::PeerHeartbeat heartbeat = heartbeatFromAddressOf(3, 5);
   peerDirectory.onHeartbeat(heartbeat, Now);
   // One heartbeat may be a late one of an ended process.
   CHECK((nextFor({{1, 2, 3}, {}}, peerDirectory, Now)->voters.size() == 3));
@@ -144,9 +150,7 @@
 /// A heartbeat of the old id that comes last must not cost the group the vote of the new one.
 TEST(MembershipPlanner, LiveVoterStaysAfterALateHeartbeatOfItsMachinesFormerId) {
   membership::PeerDirectory peerDirectory = peerDirectoryWith({2});
-  membership::PeerHeartbeat heartbeat;
-  heartbeat.sender = peer(5);
-  heartbeat.sender.address = peer(3).address;
+  const membership::PeerHeartbeat heartbeat = heartbeatFromAddressOf(3, 5);
   peerDirectory.onHeartbeat(heartbeat, Now);
   membership::PeerHeartbeat late;
   late.sender = peer(3);
@@ -159,9 +163,7 @@
 /// Without this floor a leader that took all others for replaced would go on alone.
 TEST(MembershipPlanner, ReplacedVotersLeaveAMajorityOfTheWantedOnes) {
   membership::PeerDirectory peerDirectory = peerDirectoryWith({3});
-  membership::PeerHeartbeat heartbeat;
-  heartbeat.sender = peer(5);
-  heartbeat.sender.address = peer(3).address;
+  const membership::PeerHeartbeat heartbeat = heartbeatFromAddressOf(3, 5);
   peerDirectory.onHeartbeat(heartbeat, Now);
   peerDirectory.onHeartbeat(heartbeat, Now);
   const auto change = nextFor({{1, 3}, {5}}, peerDirectory, LongAgo);
@@ -182,9 +184,7 @@
 /// the old one was there, and never saw that the old vote was lost.
 TEST(MembershipPlanner, VoterIsRemovedAtOnceThoughItsMachineWasHeardBeforeItsAddressWasLearned) {
   membership::PeerDirectory peerDirectory = peerDirectoryWith({2});
-  membership::PeerHeartbeat heartbeat;
-  heartbeat.sender = peer(5);
-  heartbeat.sender.address = peer(3).address;
+  const membership::PeerHeartbeat heartbeat = heartbeatFromAddressOf(3, 5);
   peerDirectory.onHeartbeat(heartbeat, Now);
   peerDirectory.learnAddress(3, peer(3).address, "r");
   peerDirectory.onHeartbeat(heartbeat, Now);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -32,6 +32,9 @@
 
 constexpr std::size_t Workers = 4;
 
+/// Machines that the settings name at the first start.
+constexpr std::size_t SeedCount = 3;
+
 /// The machines of a cell and its bounds, as on the deployments.
 struct CellSize {
   std::size_t disks;           ///< Machines with a disk; they come first.
@@ -102,7 +105,7 @@
                                      "127.0.0.1:" + std::to_string(this->workers.back()->port()));
     }
     this->control = ports.control;
-    for (std::size_t index = 0; index < 3; ++index)
+    for (std::size_t index = 0; index < SeedCount; ++index)
       this->seeds.push_back(this->machines[index]->seedAddress());
     for (const auto &machine : this->machines)
       machine->start(this->seeds, true);
