Sync the newest segment once when a data folder is opened

settle() wrote the last record again with a sync, or replaced the file, and then synced the same file a second time in any case; that is only needed after something was cut off.

Ruled out: a loss of what is read but not durable; the first sync covers the whole file, before the folder's sync as before.

--- a/packages/storage/src/LogStore.cpp
+++ b/packages/storage/src/LogStore.cpp
@@ -135,6 +135,17 @@
     return std::monostate{};
   }
 
+  /// Cuts off what follows the valid records of the newest segment.
+  base::Status cutOff(const FolderContents &contents) {
+    if (contents.newestFileBytes <= contents.newestValidBytes)
+      return std::monostate{};
+    if (::ftruncate(this->file.get(), static_cast<off_t>(contents.newestValidBytes)) != 0)
+      return systemError(this->segmentPath(), "truncation");
+    if (this->environment.files.fdatasync(this->file.get()) != 0)
+      return systemError(this->segmentPath(), "sync");
+    return std::monostate{};
+  }
+
   /// Opens the newest segment, cuts off what follows its valid records, and makes durable what was
   /// recovered. What was written last may not be on the disk although it can be read: the process
   /// may have ended between a write and its sync, and after a failed sync the page cache keeps data
@@ -151,11 +162,8 @@
       return status;
     if (status = this->openSegment(); !status)
       return status;
-    if (contents.newestFileBytes > contents.newestValidBytes &&
-        ::ftruncate(this->file.get(), static_cast<off_t>(contents.newestValidBytes)) != 0)
-      return systemError(this->segmentPath(), "truncation");
-    if (files.fdatasync(this->file.get()) != 0)
-      return systemError(this->segmentPath(), "sync");
+    if (status = this->cutOff(contents); !status)
+      return status;
     if (status = syncFolder(files, this->folder); !status)
       return status;
     if (!contents.snapshotIsUnmarked)
