--- a/packages/jobs/include/banyanrill/jobs/Table.h
+++ b/packages/jobs/include/banyanrill/jobs/Table.h
@@ -74,6 +74,8 @@
   void applyOne(const PutMember &command, Effect &effect);
   void applyOne(const RestartWorker &command, Effect &effect);
 
+  /// Whether a worker that started later has registered at the same address.
+  bool hasSuccessor(const WorkerProfile &profile) const;
   void release(Worker &worker, const RunKey &run, const std::string &checkpoint, Effect &effect);
   void releaseAll(Worker &worker, const std::vector<ReleasedRun> &lastCheckpoints, Effect &effect);
   void endRun(const TaskEnd &end, Effect &effect);
--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -299,20 +299,24 @@
   return known == nullptr ? ReportMeaning::News : ReportMeaning::Claim;
 }
 
+bool Table::hasSuccessor(const WorkerProfile &profile) const {
+  const auto &workers = this->content.workers;
+  return std::any_of(workers.begin(), workers.end(), [&profile](const auto &entry) {
+    const WorkerProfile &other = entry.second.profile;
+    return other.address == profile.address &&
+           other.incarnation.startTimeMs > profile.incarnation.startTimeMs;
+  });
+}
+
 void Table::applyOne(const RegisterWorker &command, Effect &effect) {
   const WorkerProfile &profile = command.profile;
   const std::string &id = profile.incarnation.id;
   const auto existing = this->content.workers.find(id);
   const bool isKnown = existing != this->content.workers.end();
-  if (isKnown && !isSameLife(existing->second.profile, profile))
-    return;
   // A late report of a worker whose successor has registered at its address adds no worker. Whether
   // the other worker at an address still lives, it says itself: its runs stay placed.
-  for (const auto &[other, worker] : this->content.workers) {
-    if (!isKnown && worker.profile.address == profile.address &&
-        worker.profile.incarnation.startTimeMs > profile.incarnation.startTimeMs)
-      return;
-  }
+  if (isKnown ? !isSameLife(existing->second.profile, profile) : this->hasSuccessor(profile))
+    return;
   Worker &worker = this->content.workers[id];
   // A worker that drains never becomes ready again in the same life; a report that says so is late.
   const bool drains = worker.profile.draining;
