--- a/packages/jobs/include/banyanrill/jobs/Model.h
+++ b/packages/jobs/include/banyanrill/jobs/Model.h
@@ -48,6 +48,11 @@
   bool operator==(const JobSpec &) const = default;
 };
 
+/// How often the steps run. Pure and thread-safe.
+inline std::uint32_t occurrencesOf(const JobSpec &spec) {
+  return spec.repeatCount == 0 ? 1 : spec.repeatCount;
+}
+
 /// Duration of a call to the advisory service, and of the tickets that it gives.
 struct AdvicePolicy {
   double baseMs = 0;
--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -22,8 +22,6 @@
          one.service == other.service;
 }
 
-std::uint32_t occurrencesOf(const JobSpec &spec) { return std::max(spec.repeatCount, 1U); }
-
 } // namespace
 
 Effect Table::apply(const CommandBatch &batch) {
