Let a call take longer than a caller has to send its request

Callers and upstreams saw calls of a serving loop cut off after receiveTimeout, 10 s: the call ended as may-have-run, "the connection closed before the end of the answer", however long its own time was.

Cause: libwebsockets reports the connection of a call with the same callback as a caller's new one, and Server took it for a caller that is slow to send. Found while tracing the process that ends by itself: the backtrace showed that callback under lws_client_connect_via_info. Ruled out: the library's own limits, which CallTable clears.

Virtual hosts of listeners carry the server as their user data, and only their connections are callers. Each call also no longer sets a deadline of the server.

Measured: AnswerOfAServingLoopMayTakeLongerThanARequest fails before (may-have-run after 200 ms of 600), passes after; test_http passes whole.

--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -205,6 +205,7 @@
     const std::string &name = this->listenerNames.emplace_back("server" + std::to_string(index));
     lws_context_creation_info info = {};
     info.vhost_name = name.c_str();
+    info.user = this->server->vhostUser();
     info.iface = listener.address.c_str();
     info.port = listener.port;
     info.protocols = this->protocols.data();
@@ -235,6 +236,7 @@
   this->server.emplace(this->context, this->options, this->handlers);
   lws_context_creation_info info = {};
   info.vhost_name = "server";
+  info.user = this->server->vhostUser();
   info.iface = this->options.listenAddress.c_str();
   info.port = this->options.port;
   info.protocols = this->protocols.data();
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -121,6 +121,9 @@
 int Server::onEvent(lws *wsi, lws_callback_reasons reason, void *input, std::size_t length) {
   switch (reason) {
   case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+    // libwebsockets reports the connection of a call in the same way.
+    if (lws_vhost_user(lws_get_vhost(wsi)) != this->vhostUser())
+      return 0;
     this->deadlines.set(this->connectionOf(wsi).number, this->options.receiveTimeout);
     return 0;
   case LWS_CALLBACK_HTTP:
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -21,6 +21,9 @@
 public:
   Server(lws_context *context, const LoopOptions &options, const LoopHandlers &handlers);
 
+  /// What a virtual host must have as its user data for its connections to be callers.
+  void *vhostUser() { return this; }
+
   /// Requests that come in at this virtual host carry the number.
   void addListener(lws_vhost *vhost, std::uint16_t number) { this->listeners[vhost] = number; }
 
--- a/packages/http/tests/CallVerdictTest.cpp
+++ b/packages/http/tests/CallVerdictTest.cpp
@@ -150,3 +150,24 @@
   CHECK(test::eventually([&] { return server.disconnects == 1; }));
   LONGS_EQUAL(1, results.load());
 }
+
+TEST(CallVerdict, AnswerOfAServingLoopMayTakeLongerThanARequest) {
+  test::StandIn server([](test::RawSocket &socket) {
+    socket.receiveUntil("\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    socket.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  std::atomic<int> results = 0;
+  std::atomic<Verdict> verdict = Verdict::DidNotRun;
+  LoopOptions options;
+  options.receiveTimeout = std::chrono::milliseconds(200);
+  LoopHandlers handlers;
+  handlers.onCallResult = [&](CallId, CallResult result) {
+    verdict = result.verdict;
+    ++results;
+  };
+  const auto loop = std::move(Loop::start(options, std::move(handlers)).value());
+  loop->call(test::callTo(server.port, "GET", "/"));
+  CHECK(test::eventually([&] { return results == 1; }));
+  CHECK(verdict.load() == Verdict::Ran);
+}
