Keep a call's strings until its connection is made

Cause: a call may end within lws_client_connect_via_info, which then still compares the method that it was given, and that string was gone with the call. Ruled out: the path, a local string already.

--- a/packages/http/src/CallTable.cpp
+++ b/packages/http/src/CallTable.cpp
@@ -198,15 +198,18 @@
   std::string path = encodePath(request.path);
   if (!request.query.empty())
     path += '?' + request.query;
+  // Copies, since the call may end within lws_client_connect_via_info, which still reads them.
+  const std::string host = pending.call.host;
+  const std::string method = request.method;
   lws_client_connect_info info = {};
   info.context = this->context;
   info.vhost = vhost;
-  info.address = pending.call.host.c_str();
+  info.address = host.c_str();
   info.port = pending.call.port;
   info.path = path.c_str();
   // libwebsockets compares `host` with `address` when it looks for a connection to reuse.
   info.host = info.address;
-  info.method = request.method.c_str();
+  info.method = method.c_str();
   info.local_protocol_name = this->protocols[0].name;
   info.opaque_user_data = &pending;
   info.alpn = "http/1.1";
