Keep what libwebsockets frees until the end of the round of events

Cause: lws_client_connect_via_info (libwebsockets 4.1.6) gives a call the kept connection and sends the head from within; if the server has reset the connection, it closes and frees it there. It then goes on with the freed memory and calls back with it, and lws_context_user reads the context in it. Class: an object is used after a nested call has ended it.

Ruled out: a connection that is reset while it is opened, or right after its answer (valgrind finds nothing); a use of freed connections by CallTable or Server. Looking at the socket before a call would only narrow the window, and a connection for each call would give up keeping them.

Memory that the library frees on the loop's thread now stays valid until the round of events ends, so whatever the library still does with a closed connection reads what it left there. This covers every callback of the loop, not only this call.

--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -2,6 +2,7 @@
 
 #include "CallTable.h"
 #include "DeadlineQueue.h"
+#include "DeferredFrees.h"
 #include "Server.h"
 #include "banyanrill/base/EventLog.h"
 
@@ -166,8 +167,11 @@
 }
 
 base::Status Loop::State::open() {
-  static std::once_flag logging;
-  std::call_once(logging, [] { lws_set_log_level(LLL_ERR, &logLibraryMessage); });
+  static std::once_flag prepared;
+  std::call_once(prepared, [] {
+    lws_set_log_level(LLL_ERR, &logLibraryMessage);
+    DeferredFrees::install();
+  });
 
   this->protocols[0].name = "http";
   this->protocols[0].callback = &State::onEvent;
@@ -316,6 +320,7 @@
 void Loop::State::run() {
   bool stop = false;
   while (!stop) {
+    const DeferredFrees round;
     if (lws_service(this->context, 0) < 0) {
       base::logEvent(base::Event::HttpLoopFailed, {{"message", "The event loop ended."}});
       break;
@@ -324,6 +329,7 @@
     std::lock_guard lock(this->mutex);
     stop = this->stopping;
   }
+  const DeferredFrees lastRound;
   if (this->server)
     this->server->stop();
   // Before the last commands, so that these open no connection that nothing would serve.
--- a/packages/http/tests/KeepAliveTest.cpp
+++ b/packages/http/tests/KeepAliveTest.cpp
@@ -90,3 +90,39 @@
   server.loop->respond(held, Response());
   CHECK(poll.get().verdict == Verdict::Ran);
 }
+
+TEST(KeepAlive, ClientSurvivesAServerThatResetsJustBeforeTheNextCalls) {
+  constexpr int Rounds = 20;
+  constexpr int Calls = 5;
+  for (int round = 0; round < Rounds; ++round) {
+    std::atomic<bool> end = false;
+    std::atomic<bool> ended = false;
+    test::StandIn server([&](test::RawSocket &socket) {
+      const linger discard = {1, 0};
+      setsockopt(socket.fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+      socket.receiveUntil("\r\n\r\n");
+      socket.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      while (!end)
+        std::this_thread::yield();
+      socket.close();
+      ended = true;
+    });
+    std::atomic<int> results = 0;
+    LoopOptions options;
+    options.serve = false;
+    LoopHandlers handlers;
+    handlers.onCallResult = [&](CallId, CallResult) { ++results; };
+    const auto loop = std::move(Loop::start(options, std::move(handlers)).value());
+    loop->call(test::callTo(server.port, "GET", "/"));
+    CHECK(test::eventually([&] { return results == 1; }));
+    // The loop stands still meanwhile, so that it cannot see the reset before the calls.
+    loop->run([&] {
+      end = true;
+      while (!ended)
+        std::this_thread::yield();
+      for (int index = 0; index < Calls; ++index)
+        loop->call(test::callTo(server.port, "GET", "/"));
+    });
+    CHECK(test::eventually([&] { return results == 1 + Calls; }));
+  }
+}
