Tell callers by the listeners that the server already knows

Cause: Server keeps a map of its virtual hosts, but only of the additional ones, so the fix for calls that were taken for callers marked all of them once more, as user data.

The first virtual host is in the map too now, with its number 0, and a connection of another one, or of none, is no caller. The user data, the check of a null pointer and a function go.

Measured: test_http 62 of 62, plain and under the sanitizers; test_http -g KeepAlive 3 of 3; soak 311 under the sanitizers ends well; the linter passes both files.

--- a/packages/http/src/Loop.cpp
+++ b/packages/http/src/Loop.cpp
@@ -209,7 +209,6 @@
     const std::string &name = this->listenerNames.emplace_back("server" + std::to_string(index));
     lws_context_creation_info info = {};
     info.vhost_name = name.c_str();
-    info.user = this->server->vhostUser();
     info.iface = listener.address.c_str();
     info.port = listener.port;
     info.protocols = this->protocols.data();
@@ -240,7 +239,6 @@
   this->server.emplace(this->context, this->options, this->handlers);
   lws_context_creation_info info = {};
   info.vhost_name = "server";
-  info.user = this->server->vhostUser();
   info.iface = this->options.listenAddress.c_str();
   info.port = this->options.port;
   info.protocols = this->protocols.data();
@@ -276,6 +274,7 @@
   if (vhost == nullptr)
     return unavailable("Cannot listen on " + this->options.listenAddress + ':' +
                        std::to_string(this->options.port) + '.');
+  this->server->addListener(vhost, 0);
   this->port = static_cast<std::uint16_t>(lws_get_vhost_listen_port(vhost));
   return std::monostate();
 }
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -121,7 +121,9 @@
 int Server::onEvent(lws *wsi, lws_callback_reasons reason, void *input, std::size_t length) {
   switch (reason) {
   case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
-    if (!this->isCaller(wsi))
+    // libwebsockets reports the connection of a call in the same way as a new caller, even when it
+    // has ended already; then it has no virtual host any more.
+    if (this->listeners.count(lws_get_vhost(wsi)) == 0)
       return 0;
     this->deadlines.set(this->connectionOf(wsi).number, this->options.receiveTimeout);
     return 0;
@@ -148,13 +150,6 @@
   }
 }
 
-bool Server::isCaller(lws *wsi) {
-  // libwebsockets reports the connection of a call in the same way as a new caller, even when it
-  // has ended already; then it has no virtual host any more.
-  lws_vhost *vhost = lws_get_vhost(wsi);
-  return vhost != nullptr && lws_vhost_user(vhost) == this->vhostUser();
-}
-
 Server::Connection &Server::connectionOf(lws *wsi) {
   std::unique_ptr<Connection> &connection = this->connections[wsi];
   if (!connection) {
--- a/packages/http/src/Server.h
+++ b/packages/http/src/Server.h
@@ -21,10 +21,7 @@
 public:
   Server(lws_context *context, const LoopOptions &options, const LoopHandlers &handlers);
 
-  /// What a virtual host must have as its user data for its connections to be callers.
-  void *vhostUser() { return this; }
-
-  /// Requests that come in at this virtual host carry the number.
+  /// Only connections of these virtual hosts are callers; their requests carry the number.
   void addListener(lws_vhost *vhost, std::uint16_t number) { this->listeners[vhost] = number; }
 
   /// Handles one callback of a connection. Nonzero: libwebsockets closes the connection.
@@ -63,7 +60,6 @@
     bool lingering = false; ///< Answered early; waits for the caller to close.
   };
 
-  bool isCaller(lws *wsi);
   Connection &connectionOf(lws *wsi);
   int onHead(Connection &connection);
   int onBody(Connection &connection, std::string_view input);
