Log what each waiting gang waits for, and how full the workers are

Callers' gangs were late and the log could not say why: not the width, not the reason, not whether the gang was looked at, not whether the workers had room; and lines of runs and advice are dropped first under load, so that their absence proves nothing.

3302 gang_decided: a line when a gang is placed, and one a second while it waits, with width, tier, position, permitted workers, places found and what it waits for; at most 80 a second, and the counters hold them all (banyanrill_gangs{outcome}). 3303 cell_load: one line a second at the leader. No decision changes: placement is as before.

The tests show the reasons, the bound on reports with 500 waiting gangs, and the reserved room.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -73,6 +73,8 @@
   RunEnded = 3207,
   RunReleased = 3208,
   AdviceAnswered = 3301,
+  GangDecided = 3302,
+  CellLoad = 3303,
   SettingChanged = 4001,
   ConfigurationInForce = 4002,
   RequestRefused = 5001,
--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "banyanrill/base/RandomSource.h"
 #include "banyanrill/base/Time.h"
 #include "banyanrill/jobs/Api.h"
+#include "banyanrill/jobs/GangDecision.h"
 #include "banyanrill/jobs/Orders.h"
 #include "banyanrill/jobs/Table.h"
 
@@ -39,6 +40,21 @@
   std::uint64_t workersRemoved = 0;
   std::size_t openSteps = 0;
   std::size_t sessions = 0;
+  /// Gangs by outcome in the last complete round; `Placed` counts all that were placed.
+  std::array<std::uint64_t, GangOutcomes> gangs{};
+};
+
+/// How full the workers are, and what waits. Millicores over all workers that may get tasks.
+struct CellLoad {
+  std::size_t workers = 0; ///< Those that may get tasks.
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  std::int64_t reserved = 0;      ///< For gangs that wait.
+  std::size_t waitingTasks = 0;   ///< Of steps that are not gangs.
+  std::size_t waitingMembers = 0; ///< Of gangs.
+  std::size_t idleAdvisers = 0;   ///< Daemons that could call the advisory service now.
+
+  bool operator==(const CellLoad &) const = default;
 };
 
 /// Lives for one term of leadership. Not thread-safe: owned by one task.
@@ -78,6 +94,13 @@
   /// ms.
   std::vector<Action> takeActions(base::TimePoint now, std::int64_t wallClockMs);
 
+  /// Returns what was decided about gangs since the last call: each that was placed, and each that
+  /// waits at intervals. Bounded; the counters hold them all.
+  std::vector<GangDecision> takeGangDecisions();
+
+  /// Looks at all workers and open steps.
+  CellLoad load(base::TimePoint now) const;
+
   /// Returns the number of jobs in a queue of which no worker has confirmed a run yet.
   std::uint64_t waitingIn(const std::string &queue) const;
 
--- a/packages/jobs/src/AdviceTracker.h
+++ b/packages/jobs/src/AdviceTracker.h
@@ -41,6 +41,7 @@
   void setAdvisoryDaemons(const std::vector<base::DaemonId> &daemons);
 
   bool hasFreeAdviser() const { return !this->idle.empty(); }
+  std::size_t idleAdvisers() const { return this->idle.size(); }
 
   StepAdvice &of(const StepKey &step) { return this->steps[step]; }
   /// Null if nothing is known of the step.
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -68,6 +68,7 @@
   this->repeatingJobs.erase(id);
   this->begun.erase(id);
   this->adviceTracker.forgetJob(id);
+  this->gangDecisions.forgetJob(id);
   this->abandonedGangs.erase(this->abandonedGangs.lower_bound({id, 0, 0}),
                              this->abandonedGangs.upper_bound({id, UINT32_MAX, UINT32_MAX}));
   if (job != nullptr)
@@ -403,10 +404,33 @@
   return found == this->state->waiting.end() ? 0 : found->second;
 }
 
+std::vector<GangDecision> Dispatcher::takeGangDecisions() {
+  return this->state->gangDecisions.take();
+}
+
+CellLoad Dispatcher::load(base::TimePoint now) const {
+  State &dispatcher = *this->state;
+  CellLoad load;
+  for (auto &[id, session] : dispatcher.sessions) {
+    if (!dispatcher.mayGetTasks(session, now))
+      continue;
+    const std::int64_t capacity = session.worker->profile.capacity.millicores;
+    ++load.workers;
+    load.capacity += capacity;
+    load.used += capacity - dispatcher.freeResources(session).millicores;
+    load.reserved += session.reservation ? session.reservation->amount.millicores : 0;
+  }
+  for (const auto &[key, open] : dispatcher.queue.all())
+    (open.step->gang ? load.waitingMembers : load.waitingTasks) += open.waiting.size();
+  load.idleAdvisers = dispatcher.adviceTracker.idleAdvisers();
+  return load;
+}
+
 DispatcherCounters Dispatcher::counters() const {
   DispatcherCounters counters = this->state->counters;
   counters.openSteps = this->state->queue.size();
   counters.sessions = this->state->sessions.size();
+  counters.gangs = this->state->gangDecisions.lastRound();
   return counters;
 }
 
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AdviceTracker.h"
+#include "GangDecisions.h"
 #include "SpeedTable.h"
 #include "StepQueue.h"
 #include "WorkerSession.h"
@@ -55,6 +56,7 @@
   base::TimePoint nextSweep = base::TimePoint::min();
   StepQueue queue;
   AdviceTracker adviceTracker;
+  GangDecisions gangDecisions;
   SpeedTable speeds;
   std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
@@ -124,7 +126,8 @@
                  PlaceRuns &command);
   void place(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
              PlaceRuns &command);
-  void placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
+  /// Places all members or none. \returns whether they are placed.
+  bool placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
                  PlaceRuns &command);
   std::vector<std::uint32_t> waitingTasks(const OpenStep &open) const;
   /// Calls `function` for each session that may have room for the demand.
@@ -144,12 +147,18 @@
   // Reservations for gangs (GangReservations.cpp).
   /// Begins a round in which gangs are placed or get reservations, if it is time for one.
   bool beginGangRound();
-  void reserveForGang(const OpenStep &open);
+  /// Reserves room for a gang that was not placed. \returns what it waits for.
+  GangFinding reserveForGang(const OpenStep &open);
   std::vector<SlotForecast> forecastSlots(const OpenStep &open);
+  /// Whether a ticket for one of the places is not valid any more at this time.
+  bool hasExpiredTicket(const OpenStep &open, const std::vector<SlotForecast> &chosen,
+                        base::TimePoint at) const;
   void renewGangTickets(const OpenStep &open, const std::vector<SlotForecast> &chosen,
                         base::TimePoint start);
   void discoverWorkers(const OpenStep &open);
   base::Resources availableTo(const OpenStep &open, WorkerSession &session);
+  /// Whether the worker is in touch and sound, whatever the step.
+  bool mayGetTasks(const WorkerSession &session, base::TimePoint at) const;
   bool isEligible(const OpenStep &open, const WorkerSession &session) const;
   std::uint32_t slotsIn(const OpenStep &open, WorkerSession &session);
   /// The same beside the tasks of the step that the workers have already.
--- a/packages/jobs/src/GangReservations.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -106,12 +106,13 @@
   if (this->now < this->nextGangRound)
     return false;
   this->nextGangRound = this->now + GangRoundInterval;
+  this->gangDecisions.beginRound();
   for (auto &[id, session] : this->sessions)
     session.reservation.reset();
   return true;
 }
 
-void Dispatcher::State::reserveForGang(const OpenStep &open) {
+GangFinding Dispatcher::State::reserveForGang(const OpenStep &open) {
   std::vector<SlotForecast> forecasts = this->forecastSlots(open);
   const std::uint32_t members = open.step->count;
   // Spare places must not make the tickets of a wide gang too many for one call.
@@ -121,7 +122,7 @@
   const std::uint32_t wanted = members + spare;
   std::uint32_t reserved = 0;
   std::size_t used = 0;
-  base::TimePoint start;
+  base::TimePoint start = this->now;
   while (used < forecasts.size() && reserved < wanted &&
          forecasts[used].at <= this->now + ReservationHorizon) {
     forecasts[used].slots = std::min(forecasts[used].slots, wanted - reserved);
@@ -130,9 +131,15 @@
     reserved += forecasts[used].slots;
     ++used;
   }
+  GangFinding finding;
+  finding.outcome = GangOutcome::TooFewPlaces;
+  finding.places = reserved;
+  finding.startsIn = start - this->now;
+  if (const StepAdvice *advice = this->adviceTracker.find(open.key))
+    finding.permitted = advice->tickets.size();
   if (reserved < members) {
     this->discoverWorkers(open);
-    return;
+    return finding;
   }
   forecasts.resize(used);
   const base::Resources demand = demandOf(*open.step);
@@ -144,11 +151,23 @@
     reservation->from = std::min(reservation->from, start);
     reservation->priority = std::max(reservation->priority, open.job->queue.priority);
   }
+  finding.outcome = start > this->now ? GangOutcome::RoomInUse : GangOutcome::RoomReserved;
   if (!open.job->queue.advice)
-    return;
+    return finding;
+  if (start <= this->now && this->hasExpiredTicket(open, forecasts, this->now))
+    finding.outcome = GangOutcome::TicketsExpired;
   if (start > this->now + DiscoveryThreshold)
     this->discoverWorkers(open);
   this->renewGangTickets(open, forecasts, start);
+  return finding;
+}
+
+bool Dispatcher::State::hasExpiredTicket(const OpenStep &open,
+                                         const std::vector<SlotForecast> &chosen,
+                                         base::TimePoint at) const {
+  return std::any_of(chosen.begin(), chosen.end(), [&](const SlotForecast &forecast) {
+    return this->adviceTracker.ticketFor(open.key, forecast.session->number, at) == nullptr;
+  });
 }
 
 void Dispatcher::State::renewGangTickets(const OpenStep &open,
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -128,21 +128,24 @@
   return sum;
 }
 
+bool Dispatcher::State::mayGetTasks(const WorkerSession &session, base::TimePoint at) const {
+  if (session.worker->profile.draining || session.leaving || !session.hasAnswered ||
+      session.renewalUnanswered || !session.clock || session.removalProposedAt)
+    return false;
+  return !session.isAvoided(at) && !session.isSilent(at) &&
+         session.callsInFlight < MaxOrdersWaiting;
+}
+
 bool Dispatcher::State::isEligible(const OpenStep &open, const WorkerSession &session) const {
   const Step &step = *open.step;
   const WorkerProfile &profile = session.worker->profile;
-  if (profile.service != open.job->queue.service || profile.draining || session.leaving ||
-      !session.hasAnswered || session.renewalUnanswered || !session.clock ||
-      session.removalProposedAt)
+  if (profile.service != open.job->queue.service || !this->mayGetTasks(session, this->now))
     return false;
   if (!step.requiredLabel.empty() && !hasLabel(profile, step.requiredLabel))
     return false;
   // Best-effort tasks on idle processors disturb tasks with a response target.
-  if ((step.bestEffortCpu && session.latencySensitiveRuns > 0) ||
-      (step.responseTargetMs > 0 && session.bestEffortRuns > 0))
-    return false;
-  return !session.isAvoided(this->now) && !session.isSilent(this->now) &&
-         session.callsInFlight < MaxOrdersWaiting;
+  return !(step.bestEffortCpu && session.latencySensitiveRuns > 0) &&
+         !(step.responseTargetMs > 0 && session.bestEffortRuns > 0);
 }
 
 std::map<std::string, std::uint32_t> Dispatcher::State::tasksPerWorker(const OpenStep &open) const {
@@ -317,16 +320,16 @@
   }
 }
 
-void Dispatcher::State::placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
+bool Dispatcher::State::placeGang(const OpenStep &open, const std::vector<std::uint32_t> &members,
                                   PlaceRuns &command) {
   if (members.size() != open.progress->tasks.size())
-    return;
+    return false;
   const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
   std::size_t slots = 0;
   for (WorkerSession *session : candidates)
     slots += this->slotsIn(open, *session);
   if (slots < members.size())
-    return;
+    return false;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   std::uint32_t run = 0;
   for (const Task &task : open.progress->tasks)
@@ -341,7 +344,7 @@
     this->assign(open, index, run, *session, command);
   }
   if (command.runs.size() - before == members.size())
-    return;
+    return true;
   // Not all members fit: undo the assignments of the others.
   while (command.runs.size() > before) {
     const PlacedRun &placed = command.runs.back();
@@ -349,6 +352,7 @@
     this->dropPending(placed.run.task);
     command.runs.pop_back();
   }
+  return false;
 }
 
 std::uint32_t Dispatcher::State::slotsIn(const OpenStep &open, WorkerSession &session) {
@@ -438,6 +442,7 @@
   this->byFreeProcessors.clear();
   const bool isGangRound = this->beginGangRound();
   std::size_t reservingGangs = 0;
+  std::size_t position = 0;
   for (const OpenStep *open : this->queue.ordered(this->now)) {
     if (open->step->gang && !isGangRound)
       continue;
@@ -448,13 +453,14 @@
       this->planTasks(*open, waitingTasks, command);
       continue;
     }
-    const std::size_t placedBefore = command.runs.size();
-    this->placeGang(*open, waitingTasks, command);
-    if (reservingGangs < MaxReservingGangs && command.runs.size() == placedBefore &&
-        waitingTasks.size() == open->step->count) {
+    GangFinding finding;
+    if (this->placeGang(*open, waitingTasks, command)) {
+      finding.outcome = GangOutcome::Placed;
+    } else if (reservingGangs < MaxReservingGangs && waitingTasks.size() == open->step->count) {
       ++reservingGangs;
-      this->reserveForGang(*open);
+      finding = this->reserveForGang(*open);
     }
+    this->gangDecisions.note(*open, position++, finding, this->now);
   }
   if (!command.runs.empty())
     this->actions.emplace_back(Command(std::move(command)));
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -40,6 +40,9 @@
   /// Open steps, the most urgent first.
   std::vector<const OpenStep *> ordered(base::TimePoint now) const;
 
+  /// All open steps, in the order of their keys.
+  const std::map<StepKey, OpenStep> &all() const { return this->steps; }
+
   std::size_t size() const { return this->steps.size(); }
 
 private:
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -235,13 +235,16 @@
 }
 
 bool FakeCell::isPermitted(const StepKey &step, const std::string &worker) const {
+  const auto own = this->options.permittedShares.find(this->table.findJob(step.job)->queue.name);
+  const double share =
+      own == this->options.permittedShares.end() ? this->options.permittedShare : own->second;
   // The other workers have room for every gang in the tests.
-  if (this->options.permittedShare >= 1)
+  if (share >= 1)
     return worker.compare(
                0, 2, "w" + std::to_string(base::stableHash(step.job) % this->workers.size())) != 0;
   const std::uint64_t drawn =
       base::stableHash(step.job + '.' + std::to_string(step.step) + '.' + worker) % 1000;
-  return static_cast<double>(drawn) < this->options.permittedShare * 1000;
+  return static_cast<double>(drawn) < share * 1000;
 }
 
 template <typename Order, typename Answer, typename Carry, typename Report>
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -23,7 +23,8 @@
   std::size_t advisers = 3; ///< Daemons that can call the advisory service.
   /// Share of the workers that the advisory service permits for a step. 1: all but one per job.
   double permittedShare = 1;
-  base::Resources capacity = {8000, 8000, 0}; ///< Of each worker.
+  std::map<std::string, double> permittedShares; ///< By queue, in place of the share above.
+  base::Resources capacity = {8000, 8000, 0};    ///< Of each worker.
 };
 
 /// Not thread-safe.
@@ -53,6 +54,8 @@
   std::int64_t now() const { return this->nowMs; }
   const Table &jobTable() const { return this->table; }
   DispatcherCounters counters() const { return this->dispatcher->counters(); }
+  CellLoad load() const { return this->dispatcher->load(this->clock()); }
+  std::vector<GangDecision> takeGangDecisions() { return this->dispatcher->takeGangDecisions(); }
   std::uint64_t waiting() const { return this->dispatcher->waitingIn("queue"); }
   /// Returns the time that the dispatcher itself has used.
   std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -105,6 +105,7 @@
   base::TimePoint leaderSince = base::TimePoint::min();
   base::TimePoint nextMajorityLog = base::TimePoint::min();
   base::TimePoint nextLagLog = base::TimePoint::min();
+  base::TimePoint nextLoadLog = base::TimePoint::min();
   std::optional<membership::KnownLeader> loggedLeader; ///< The leader in the last log line.
   std::int64_t suspendedMs = 0; ///< Total time that the machine has been suspended.
   PauseGuard pauseGuard;
@@ -171,6 +172,10 @@
   void expireRelayed();
   void askAdvice(const wire::AdviceRequest &ask, std::function<void(jobs::AdviceAnswer)> done);
   void updateAdvisers();
+  /// Log what the dispatcher decided about gangs, and the load of the workers. Precondition: this
+  /// node leads.
+  void logGangs() const;
+  void logLoad();
 
   // Peers.
   void onPeerRequest(http::ExchangeId exchange, const http::Request &request);
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -321,6 +321,9 @@
   line("workers_removed_total", leader.workersRemoved);
   line("open_steps", leader.openSteps);
   line("workers", leader.sessions);
+  for (std::size_t outcome = 0; outcome < jobs::GangOutcomes; ++outcome)
+    text << "banyanrill_gangs{outcome=\"" << jobs::GangOutcomeNames.at(outcome) << "\"} "
+         << leader.gangs.at(outcome) << '\n';
   return text.str();
 }
 
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -33,6 +33,9 @@
 /// lost.
 constexpr std::size_t MaxAnswers = 4096;
 
+/// Interval of the lines that show how full the workers are.
+constexpr base::Duration LoadLogInterval = std::chrono::seconds(1);
+
 void logOrder(const jobs::WorkerOrder &order, const jobs::WorkerAnswer &answer) {
   const auto outcome = std::visit([](const auto &typed) { return typed.outcome; }, answer);
   const std::string text(jobs::nameOf(outcome));
@@ -270,6 +273,51 @@
                  });
 }
 
+void Node::State::logGangs() const {
+  const auto milliseconds = [](base::Duration duration) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+  };
+  for (const jobs::GangDecision &decision : this->dispatcher->takeGangDecisions())
+    base::logEvent(base::Event::GangDecided,
+                   {{"job", decision.step.job},
+                    {"step", std::to_string(decision.step.step)},
+                    {"queue", decision.queue},
+                    {"outcome", std::string(jobs::nameOf(decision.outcome))},
+                    {"members", std::to_string(decision.members)},
+                    {"tier", std::to_string(decision.tier)},
+                    {"waited_ms", milliseconds(decision.waited)},
+                    {"position", std::to_string(decision.position)},
+                    {"permitted", std::to_string(decision.permitted)},
+                    {"places", std::to_string(decision.places)},
+                    {"starts_in_ms", milliseconds(decision.startsIn)}});
+}
+
+void Node::State::logLoad() {
+  if (this->now < this->nextLoadLog)
+    return;
+  this->nextLoadLog = this->now + LoadLogInterval;
+  const jobs::CellLoad load = this->dispatcher->load(this->now);
+  const jobs::DispatcherCounters counters = this->dispatcher->counters();
+  const auto gangs = [&counters](jobs::GangOutcome outcome) {
+    return std::to_string(counters.gangs.at(static_cast<std::size_t>(outcome)));
+  };
+  base::logEvent(base::Event::CellLoad,
+                 {{"workers", std::to_string(load.workers)},
+                  {"capacity", std::to_string(load.capacity)},
+                  {"used", std::to_string(load.used)},
+                  {"reserved", std::to_string(load.reserved)},
+                  {"waiting_tasks", std::to_string(load.waitingTasks)},
+                  {"waiting_members", std::to_string(load.waitingMembers)},
+                  {"idle_advisers", std::to_string(load.idleAdvisers)},
+                  {"advice_calls", std::to_string(counters.adviceCalls)},
+                  {"gangs_placed", gangs(jobs::GangOutcome::Placed)},
+                  {"passed_over", gangs(jobs::GangOutcome::PassedOver)},
+                  {"too_few_places", gangs(jobs::GangOutcome::TooFewPlaces)},
+                  {"room_in_use", gangs(jobs::GangOutcome::RoomInUse)},
+                  {"tickets_expired", gangs(jobs::GangOutcome::TicketsExpired)},
+                  {"room_reserved", gangs(jobs::GangOutcome::RoomReserved)}});
+}
+
 void Node::State::updateAdvisers() {
   if (!this->dispatcher)
     return;
