Ask for the tickets of a gang in concurrent calls

Users saw SHORT: of the largest tenth of reconcile too few were served. A step had one advisory call at a time, of at most 100 names. A third of the names are permitted, a call of 100 names takes almost 1 s, and a ticket ends after 2.5 s. So a wide gang never held all its tickets at the same time: it renewed some while others ended. One of more than 100 members on as many workers could not be renewed at all and was skipped without a word. Meanwhile its room was held and not used.

A gang now asks in several calls at a time, about 50 workers each, while half of the idle advisers stay free for others, and finds the places that it needs sooner among more workers. Tickets that end first are renewed first, however many there are.

--- a/packages/jobs/src/AdviceTracker.cpp
+++ b/packages/jobs/src/AdviceTracker.cpp
@@ -50,7 +50,7 @@
   order.expectedMs = static_cast<std::int64_t>(
       policy.baseMs + policy.perWorkerMs * static_cast<double>(workers.size()));
   order.workers = workers;
-  this->steps[step.key].asking = true;
+  ++this->steps[step.key].callsInFlight;
   this->asked.emplace(id,
                       Asked{step.key, order.daemon, std::move(workers), now, policy.ticketLifeMs});
   return order;
@@ -71,7 +71,7 @@
   if (known == this->steps.end())
     return call.step;
   StepAdvice &advice = known->second;
-  advice.asking = false;
+  --advice.callsInFlight;
   if (!answer.answered) {
     advice.askAgain = now + RetryPause;
     return call.step;
--- a/packages/jobs/src/AdviceTracker.h
+++ b/packages/jobs/src/AdviceTracker.h
@@ -28,7 +28,7 @@
 struct StepAdvice {
   boost::container::flat_map<WorkerNumber, Ticket> tickets;
   boost::container::flat_set<WorkerNumber> bad;
-  bool asking = false;
+  std::uint32_t callsInFlight = 0;
   base::TimePoint askAgain = base::TimePoint::min();
   /// When to look for workers that no call has named; later than `askAgain` if there were none.
   base::TimePoint discoverAgain = base::TimePoint::min();
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -156,6 +156,9 @@
   void renewGangTickets(const OpenStep &open, const std::vector<SlotForecast> &chosen,
                         base::TimePoint start);
   void discoverWorkers(const OpenStep &open);
+  /// Asks about the workers in several calls at a time, the first of them first. Precondition:
+  /// names are not empty, and an adviser is idle.
+  void askConcurrently(const OpenStep &open, const std::vector<std::string> &names);
   base::Resources availableTo(const OpenStep &open, WorkerSession &session);
   /// Whether the worker is in touch and sound, whatever the step.
   bool mayGetTasks(const WorkerSession &session, base::TimePoint at) const;
--- a/packages/jobs/src/GangReservations.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -33,6 +33,16 @@
 /// Maximum number of workers in one advisory call; limit of the service.
 constexpr std::size_t MaxNamed = 100;
 
+/// Workers in one of several concurrent calls. A call takes longer the more it names, and the
+/// tickets of a gang must all be valid at the same time.
+constexpr std::size_t NamedPerCall = 50;
+
+/// Maximum number of workers that a gang looks for at the same time.
+constexpr std::size_t MaxDiscovered = 300;
+
+/// A gang takes at most one in this many of the idle advisers, so that others find some.
+constexpr std::size_t IdleAdvisersPerCall = 2;
+
 /// Workers named per gang member, since the service refuses many.
 constexpr std::size_t NamesPerMember = 5;
 
@@ -115,11 +125,7 @@
 GangFinding Dispatcher::State::reserveForGang(const OpenStep &open) {
   std::vector<SlotForecast> forecasts = this->forecastSlots(open);
   const std::uint32_t members = open.step->count;
-  // Spare places must not make the tickets of a wide gang too many for one call.
-  const auto namedAtMost = static_cast<std::uint32_t>(MaxNamed);
-  const std::uint32_t spare =
-      std::min(members / SpareMemberShare, namedAtMost - std::min(members, namedAtMost));
-  const std::uint32_t wanted = members + spare;
+  const std::uint32_t wanted = members + members / SpareMemberShare;
   std::uint32_t reserved = 0;
   std::size_t used = 0;
   base::TimePoint start = this->now;
@@ -174,39 +180,59 @@
                                          const std::vector<SlotForecast> &chosen,
                                          base::TimePoint start) {
   StepAdvice &advice = this->adviceTracker.of(open.key);
-  if (advice.asking || this->now < advice.askAgain || !this->adviceTracker.hasFreeAdviser())
+  if (advice.callsInFlight > 0 || this->now < advice.askAgain ||
+      !this->adviceTracker.hasFreeAdviser())
     return;
-  std::vector<std::string> names;
-  bool expired = false;
+  // Those whose tickets end too early come first: there may be too few advisers for all.
+  std::vector<std::string> expiring;
+  std::vector<std::string> valid;
+  boost::container::flat_set<WorkerNumber> named;
   for (const SlotForecast &forecast : chosen) {
-    const std::string &id = forecast.session->incarnation.id;
-    if (std::find(names.begin(), names.end(), id) != names.end())
+    const WorkerNumber number = forecast.session->number;
+    if (!named.insert(number).second)
       continue;
-    names.push_back(id);
-    const Ticket *ticket =
-        this->adviceTracker.ticketFor(open.key, forecast.session->number, this->now);
-    expired = expired || ticket == nullptr || ticket->until < start;
+    const Ticket *ticket = this->adviceTracker.ticketFor(open.key, number, this->now);
+    const bool lasts = ticket != nullptr && ticket->until >= start;
+    (lasts ? valid : expiring).push_back(forecast.session->incarnation.id);
   }
-  if (!expired || names.size() > MaxNamed ||
-      this->now + callTime(*open.job->queue.advice, names.size()) + RenewalLead < start)
+  const std::size_t callNames = std::min(named.size(), NamedPerCall);
+  if (expiring.empty() ||
+      this->now + callTime(*open.job->queue.advice, callNames) + RenewalLead < start)
     return;
-  // Tickets for further permitted workers cost little in the same call, and expected end times are
-  // estimates.
+  std::vector<std::string> names = std::move(expiring);
+  names.insert(names.end(), valid.begin(), valid.end());
+  // Tickets for further permitted workers cost little in the same calls, and expected end times
+  // are estimates.
   for (const auto &[number, ticket] : advice.tickets) {
-    if (names.size() >= MaxNamed || names.size() >= chosen.size() * 2)
+    if (names.size() >= chosen.size() * 2)
       break;
-    const std::string &id = this->byNumber[number]->incarnation.id;
-    if (std::find(names.begin(), names.end(), id) == names.end())
-      names.push_back(id);
+    if (named.insert(number).second)
+      names.push_back(this->byNumber[number]->incarnation.id);
+  }
+  this->askConcurrently(open, names);
+}
+
+void Dispatcher::State::askConcurrently(const OpenStep &open,
+                                        const std::vector<std::string> &names) {
+  const std::size_t most =
+      std::max<std::size_t>(this->adviceTracker.idleAdvisers() / IdleAdvisersPerCall, 1);
+  const std::size_t calls = std::min((names.size() + NamedPerCall - 1) / NamedPerCall, most);
+  // Names beyond what the calls hold are asked about later.
+  const std::size_t perCall = std::min((names.size() + calls - 1) / calls, MaxNamed);
+  auto next = names.begin();
+  for (std::size_t call = 0; call < calls && next != names.end(); ++call) {
+    const auto count = std::min<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(perCall),
+                                                std::distance(next, names.end()));
+    this->ask(open, {next, next + count});
+    next += count;
   }
-  this->ask(open, std::move(names));
 }
 
 void Dispatcher::State::discoverWorkers(const OpenStep &open) {
   if (!open.job->queue.advice)
     return;
   StepAdvice &advice = this->adviceTracker.of(open.key);
-  if (advice.asking || this->now < std::max(advice.askAgain, advice.discoverAgain) ||
+  if (advice.callsInFlight > 0 || this->now < std::max(advice.askAgain, advice.discoverAgain) ||
       !this->adviceTracker.hasFreeAdviser())
     return;
   advice.askAgain = this->now + AdviceRecheckInterval;
@@ -229,7 +255,7 @@
     return;
   }
   const std::size_t most =
-      std::min({unknown.size(), MaxNamed,
+      std::min({unknown.size(), MaxDiscovered,
                 std::max(MinAdvised, NamesPerMember * static_cast<std::size_t>(open.step->count))});
   std::partial_sort(unknown.begin(), unknown.begin() + static_cast<std::ptrdiff_t>(most),
                     unknown.end(), [](const Unknown &left, const Unknown &right) {
@@ -239,7 +265,7 @@
   std::vector<std::string> names;
   for (std::size_t index = 0; index < most; ++index)
     names.push_back(*unknown[index].worker);
-  this->ask(open, std::move(names));
+  this->askConcurrently(open, names);
 }
 
 } // namespace banyanrill::jobs
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -375,7 +375,7 @@
 
 void Dispatcher::State::considerAdvice(const OpenStep &open, std::uint32_t needed) {
   StepAdvice &advice = this->adviceTracker.of(open.key);
-  if (needed == 0 || advice.asking || this->now < advice.askAgain)
+  if (needed == 0 || advice.callsInFlight > 0 || this->now < advice.askAgain)
     return;
   advice.askAgain = this->now + AdviceRecheckInterval;
   struct Candidate {
--- a/packages/jobs/tests/FleetLoad.cpp
+++ b/packages/jobs/tests/FleetLoad.cpp
@@ -12,6 +12,8 @@
 /// A job that takes longer than this many times its target was not served.
 constexpr double LateFactor = 3;
 
+} // namespace
+
 Queue queueOf(const LoadClass &kind) {
   Queue queue;
   queue.name = kind.queue;
@@ -25,8 +27,6 @@
   return queue;
 }
 
-} // namespace
-
 std::vector<LoadClass> fleetClasses() {
   return {
       {"reconcile", 10, 32, 0.6, 160, 4500, 5000, 1, 0.35, 1, 2.2, 1200, {390, 5.6, 2500}},
--- a/packages/jobs/tests/FleetLoad.h
+++ b/packages/jobs/tests/FleetLoad.h
@@ -31,6 +31,8 @@
 constexpr std::size_t ReferenceAdvisers = 150;
 constexpr base::Resources FleetCapacity = {16000, 32000, 0};
 
+Queue queueOf(const LoadClass &kind);
+
 /// A cell with these classes; daemons that call the advisory service in proportion.
 CellOptions fleetOptions(std::uint64_t seed, std::size_t workers = ReferenceWorkers);
 
--- a/packages/jobs/tests/GangStarvationTest.cpp
+++ b/packages/jobs/tests/GangStarvationTest.cpp
@@ -19,6 +19,24 @@
 
 TEST_GROUP(GangStarvation){};
 
+/// One call names fewer workers than this gang needs, and its tickets ended before the next calls
+/// had found the others.
+TEST(GangStarvation, GangWiderThanOneCallStarts) {
+  constexpr std::uint32_t Members = 120;
+  CellOptions options = fleetOptions(1, 500);
+  options.advisers = 20;
+  options.capacity = {5000, 32000, 0}; // One member on each worker.
+  FakeCell cell(options);
+  cell.run(3000);
+  const LoadClass kind = fleetClasses().at(Reconcile);
+  JobSpec spec = makeJob("wide", Members, kind.millicores, kind.milliseconds);
+  spec.steps[0].gang = true;
+  cell.submit(std::move(spec), queueOf(kind));
+  cell.run(3000);
+  LONGS_EQUAL(Members, cell.jobTable().findJob("wide")->occurrences.at(0).steps[0].placements);
+  CHECK(cell.findViolations().empty());
+}
+
 TEST(GangStarvation, WidestTenthIsServedHalfAsOftenAsAll) {
   constexpr double Overload = 1.7;
   FakeCell cell(fleetOptions(1));
