Take a step for late when its last task would miss the target

Callers' single-task jobs (trend) were started at the last moment that the estimate of one task allowed, and half of them missed the target by their last task: of 50 tasks with durations within half of the estimate, the last ends half as late again. Under overload that room was spent on late work while fresh work became late too.

The remaining time of a step of parallel tasks counts its last task now. And a gang is ordered 3 s before the time at which it must start, not 6 s: with concurrent advisory calls it collects in half the time, and a longer lead put all gangs before all single tasks.

The test fails before (the job that can no longer end in time comes first).

--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -10,7 +10,7 @@
 constexpr std::int64_t NoValueFactor = 3;
 
 /// A gang needs this time to collect room and tickets for all its members.
-constexpr base::Duration GangLead = std::chrono::milliseconds(6000);
+constexpr base::Duration GangLead = std::chrono::milliseconds(3000);
 
 /// A step of one priority comes before one of the next priority that must start this much earlier.
 /// Under a shortage urgent work wins, and less urgent work still gets its turn by its age.
@@ -25,6 +25,16 @@
 
 base::Duration milliseconds(std::int64_t count) { return std::chrono::milliseconds(count); }
 
+/// The last of many parallel tasks ends this much later than estimated, in parts of the estimate.
+constexpr double TailShare = 0.5;
+
+/// What is left of a job's critical path when this step starts.
+base::Duration remainingTime(const Job &job, std::uint32_t step) {
+  const auto chainMs = static_cast<double>(criticalPathFrom(job.spec, step));
+  const bool hasTail = !job.spec.steps[step].gang && job.spec.steps[step].count > 1;
+  return milliseconds(static_cast<std::int64_t>(hasTail ? chainMs * (1 + TailShare) : chainMs));
+}
+
 std::int64_t targetDurationMs(const Job &job) {
   return static_cast<std::int64_t>(job.queue.stretch *
                                    static_cast<double>(criticalPathMs(job.spec))) +
@@ -104,7 +114,7 @@
         milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
   open.due = due;
   const std::int64_t aim = targetDurationMs(job);
-  const base::Duration chain = milliseconds(criticalPathFrom(job.spec, key.step));
+  const base::Duration chain = remainingTime(job, key.step);
   open.latestStart = due + milliseconds(aim) - chain;
   open.latestUsefulStart = due + milliseconds(aim * NoValueFactor) - chain;
   if (open.step->longRunning) {
--- a/packages/jobs/tests/OverloadTest.cpp
+++ b/packages/jobs/tests/OverloadTest.cpp
@@ -21,10 +21,10 @@
   return queue;
 }
 
-/// Accepts a job of one task at this time, in ms.
+/// Accepts a job at this time, in ms.
 void accept(Table &table, StepQueue &steps, const std::string &id, const Queue &queue,
-            std::int64_t timeMs) {
-  table.apply({timeMs, {AcceptJob{makeJob(id, 1, 1000, 1000), queue}}});
+            std::int64_t timeMs, std::uint32_t tasks = 1) {
+  table.apply({timeMs, {AcceptJob{makeJob(id, tasks, 1000, 1000), queue}}});
   steps.refresh(id, base::TimePoint(std::chrono::milliseconds(timeMs)), timeMs);
 }
 
@@ -54,6 +54,19 @@
   STRCMP_EQUAL("backlog", firstAt(steps, 4500).c_str());
 }
 
+/// The last of many parallel tasks ends later than their estimate. A step that started too late for
+/// that took the room of fresh work and missed its target all the same.
+TEST(Overload, StepThatMissesItsTargetByItsLastTaskComesAfterFreshWork) {
+  constexpr std::uint32_t Tasks = 50;
+  Table table;
+  StepQueue steps(table);
+  const Queue queue = queueOf(1, 2, 0);
+  accept(table, steps, "late", queue, 0, Tasks); // Its estimate says that it may start until 1 s.
+  accept(table, steps, "fresh", queue, 700, Tasks);
+  STRCMP_EQUAL("late", firstAt(steps, 400).c_str());
+  STRCMP_EQUAL("fresh", firstAt(steps, 700).c_str());
+}
+
 /// A burst of gangs: all ask for advice at once, instead of one group after the other.
 TEST(Overload, ManyGangsCollectAtTheSameTime) {
   CellOptions options;
