--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -94,8 +94,8 @@
   /// ms.
   std::vector<Action> takeActions(base::TimePoint now, std::int64_t wallClockMs);
 
-  /// Returns what was decided about gangs since the last call: each that was placed, and each that
-  /// waits at intervals. Bounded; the counters hold them all.
+  /// Returns what was decided about gangs since the last call: each that waits at intervals, and
+  /// its placement. Bounded; the counters hold them all.
   std::vector<GangDecision> takeGangDecisions();
 
   /// Looks at all workers and open steps.
--- a/packages/jobs/src/GangDecisions.cpp
+++ b/packages/jobs/src/GangDecisions.cpp
@@ -23,9 +23,10 @@
 void GangDecisions::note(const OpenStep &open, std::size_t position, const GangFinding &finding,
                          base::TimePoint now) {
   ++this->current.at(static_cast<std::size_t>(finding.outcome));
-  base::TimePoint &next = this->nextReport[open.key];
+  const auto [waiting, isNew] = this->nextReport.try_emplace(open.key, base::TimePoint::min());
   const bool isPlaced = finding.outcome == GangOutcome::Placed;
-  if (!isPlaced && now < next)
+  // Most gangs are placed at the first look; the orders to start their runs show that.
+  if (isPlaced ? isNew : now < waiting->second)
     return;
   if (now >= this->windowEnds) {
     this->windowEnds = now + ReportWindow;
@@ -34,7 +35,7 @@
   if (this->inWindow >= MaxReports)
     return;
   ++this->inWindow;
-  next = now + ReportInterval;
+  waiting->second = now + ReportInterval;
   GangDecision decision;
   decision.step = open.key;
   decision.queue = open.job->queue.name;
