Order a gang earlier the wider it is

A wide one collects longer, so it was late before it had its places, and from then on behind all fresh work.

The lead is 3 s and 15 ms for each member now. Age still counts: a wide gang passes a narrow one that came up to 2.4 s earlier, and none waits for good.

The test fails before (narrow first).

--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -9,8 +9,9 @@
 /// A job that ends later than this many times its aim is worth nothing any more.
 constexpr std::int64_t NoValueFactor = 3;
 
-/// A gang needs this time to collect room and tickets for all its members.
+/// A gang collects room and tickets for all its members, and the more members, the longer it takes.
 constexpr base::Duration GangLead = std::chrono::milliseconds(3000);
+constexpr base::Duration GangLeadPerMember = std::chrono::milliseconds(15);
 
 /// A step of one priority comes before one of the next priority that must start this much earlier.
 /// Under a shortage urgent work wins, and less urgent work still gets its turn by its age.
@@ -20,7 +21,9 @@
 base::TimePoint orderingTime(const OpenStep &open) {
   const base::TimePoint aged =
       open.latestStart + AgeingPerPriority * static_cast<std::int64_t>(open.job->queue.priority);
-  return open.step->gang ? aged - GangLead : aged;
+  if (!open.step->gang)
+    return aged;
+  return aged - GangLead - GangLeadPerMember * static_cast<std::int64_t>(open.step->count);
 }
 
 base::Duration milliseconds(std::int64_t count) { return std::chrono::milliseconds(count); }
--- a/packages/jobs/tests/OverloadTest.cpp
+++ b/packages/jobs/tests/OverloadTest.cpp
@@ -67,6 +67,25 @@
   STRCMP_EQUAL("fresh", firstAt(steps, 700).c_str());
 }
 
+/// A wide gang takes longer to collect its places than a narrow one; in the order of their ages it
+/// was late before it had them, and behind all others from then on.
+TEST(Overload, WideGangCollectsBeforeANarrowOneOfItsAge) {
+  Table table;
+  StepQueue steps(table);
+  const auto acceptGang = [&](const std::string &id, std::uint32_t members, std::int64_t timeMs) {
+    JobSpec spec = makeJob(id, members, 1000, 5000);
+    spec.steps[0].gang = true;
+    table.apply({timeMs, {AcceptJob{std::move(spec), queueOf(1, 2, 1000)}}});
+    steps.refresh(id, base::TimePoint(std::chrono::milliseconds(timeMs)), timeMs);
+  };
+  acceptGang("narrow", 10, 0);
+  acceptGang("wide", 100, 500);
+  STRCMP_EQUAL("wide", firstAt(steps, 500).c_str());
+  // Age still counts: no width makes another gang wait for good.
+  acceptGang("widest", 160, 4000);
+  STRCMP_EQUAL("wide", firstAt(steps, 4000).c_str());
+}
+
 /// A burst of gangs: all ask for advice at once, instead of one group after the other.
 TEST(Overload, ManyGangsCollectAtTheSameTime) {
   CellOptions options;
