--- a/packages/jobs/src/AdviceTracker.cpp
+++ b/packages/jobs/src/AdviceTracker.cpp
@@ -1,5 +1,7 @@
 #include "AdviceTracker.h"
 
+#include <algorithm>
+
 namespace banyanrill::jobs {
 
 namespace {
@@ -71,7 +73,8 @@
   if (known == this->steps.end())
     return call.step;
   StepAdvice &advice = known->second;
-  --advice.callsInFlight;
+  // A call outlives what is known of its step, if its job ends and comes again.
+  advice.callsInFlight -= std::min(advice.callsInFlight, 1U);
   if (!answer.answered) {
     advice.askAgain = now + RetryPause;
     return call.step;
--- a/packages/jobs/src/GangDecisions.h
+++ b/packages/jobs/src/GangDecisions.h
@@ -8,7 +8,7 @@
 
 namespace banyanrill::jobs {
 
-/// What one round found out about a gang that it did not place.
+/// What one round found out about a gang.
 struct GangFinding {
   GangOutcome outcome = GangOutcome::PassedOver;
   std::size_t permitted = 0;
