Show that wide steps of tasks starve far beyond the fleet's capacity

The simulated fleet shows it when it can take less than half of the load.

Not mended here.

It shares its bound with GangStarvation, so the file is named after both; the tests of GangStarvation are as they were, and pass.

--- a/packages/jobs/tests/GangStarvationTest.cpp
+++ b/packages/jobs/tests/StarvationTest.cpp
@@ -1,5 +1,4 @@
-// Guards against wide gangs that starve under overload: the wider a gang, the longer it took to
-// collect tickets for all its members, and fresh work came first once it was late.
+// Guards against wide jobs that starve under overload: fresh work comes first once they are late.
 #include "FleetLoad.h"
 
 #include <CppUTest/TestHarness.h>
@@ -10,6 +9,7 @@
 namespace {
 
 constexpr std::size_t Reconcile = 0;
+constexpr std::size_t Trend = 1;
 constexpr double WidestTenth = 0.9;
 
 /// A size must not be served less than half as often as its whole class.
@@ -17,6 +17,7 @@
 
 } // namespace
 
+/// The wider a gang, the longer it took to collect tickets for all its members.
 TEST_GROUP(GangStarvation){};
 
 /// One call names fewer workers than this gang needs, and its tickets ended before the next calls
@@ -52,3 +53,23 @@
   CHECK(widest.inTargetShare() >= LeastShare * all.inTargetShare());
   CHECK(cell.findViolations().empty());
 }
+
+/// The last tasks of a wide step turn late, and wait behind fresh work from then on.
+TEST_GROUP(StepStarvation){};
+
+TEST(StepStarvation, WidestTenthIsServedHalfAsOftenAsAll) {
+  constexpr double Overload = 1.5;
+  CellOptions options = fleetOptions(14);
+  options.capacity.millicores = FleetCapacity.millicores * 3 / 5;
+  FakeCell cell(options);
+  cell.run(3000);
+  FleetLoad load(cell, 114);
+  load.setFactor(Overload);
+  load.run(34000);
+  cell.run(25000);
+  const Served all = load.served(Trend);
+  const Served widest = load.served(Trend, WidestTenth);
+  CHECK(widest.jobs >= 20);
+  CHECK(widest.share() >= LeastShare * all.share());
+  CHECK(cell.findViolations().empty());
+}
