Log what the leader believes of a worker's life, lease and runs

The logs that came with the report hold no restart, no lease and no start, so they cannot tell the hypotheses of the incident apart: an on-call engineer sees neither for which life of a worker an order was made nor why a run was placed again.

New lines, without a change of any decision: the leader's session with a life of a worker, its fencing token and how long earlier leases may last there (3010), doubts and restarts seen (3011, 3012), silence and removal with the lease as believed (3013, 3014), and for each run why it was released (3209).

Lines of single runs stay in the class that is dropped first; conclusions are kept in a list of at most 2,048 between two rounds.

--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 53> Catalogue = {{
+constexpr std::array<EventDefinition, 59> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -60,6 +60,16 @@
     {3008, Severity::Warning, "worker_report_ignored",
      "A report contradicts what is known, or names no service in use; nothing changes."},
     {3009, Severity::Info, "worker_restarted", "A worker answered in another life than before."},
+    {3010, Severity::Info, "worker_session_began",
+     "The leader begins to give a worker orders under this fencing token."},
+    {3011, Severity::Info, "worker_doubted",
+     "A report contradicts what is known of a worker; the worker itself is asked."},
+    {3012, Severity::Info, "worker_restart_seen",
+     "A worker's answer shows that it has restarted under its identifier."},
+    {3013, Severity::Warning, "worker_fell_silent",
+     "A worker does not answer the leader any more."},
+    {3014, Severity::Warning, "worker_removal_decided",
+     "The leader gives a worker up, and why nothing can run there any more."},
     {3101, Severity::Info, "upstream_announced", "A new upstream instance announced itself."},
     {3102, Severity::Info, "upstream_left", "An upstream instance left or fell silent."},
     {3201, Severity::Info, "job_accepted", "A job was accepted."},
@@ -72,6 +82,8 @@
      "A worker answered the order to stop a run, or did not."},
     {3207, Severity::Info, "run_ended", "The end of a run is recorded."},
     {3208, Severity::Info, "run_released", "A run certainly does not exist; its task waits again."},
+    {3209, Severity::Info, "run_release_decided",
+     "The leader concludes that a run does not exist, and from what."},
     {3301, Severity::Info, "advice_answered",
      "The advisory service named workers for a step, or failed."},
     {3302, Severity::Info, "gang_decided", "A gang was placed, or waits, and what it waits for."},
@@ -104,8 +116,8 @@
 
 bool isFrequent(Event event) {
   return event == Event::RunOrdered || event == Event::RunStopOrdered || event == Event::RunEnded ||
-         event == Event::RunReleased || event == Event::AdviceAnswered ||
-         event == Event::WorkerReportIgnored;
+         event == Event::RunReleased || event == Event::RunReleaseDecided ||
+         event == Event::AdviceAnswered || event == Event::WorkerReportIgnored;
 }
 
 log4cxx::LevelPtr levelOf(Severity severity) {
--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "banyanrill/jobs/GangDecision.h"
 #include "banyanrill/jobs/Orders.h"
 #include "banyanrill/jobs/Table.h"
+#include "banyanrill/jobs/WorkerDecision.h"
 
 #include <memory>
 
@@ -98,6 +99,10 @@
   /// its placement. Bounded; the counters hold them all.
   std::vector<GangDecision> takeGangDecisions();
 
+  /// Returns what was concluded about workers and their runs since the last call, in order.
+  /// Bounded: what does not fit is left out.
+  std::vector<WorkerDecision> takeWorkerDecisions();
+
   /// Looks at all workers and open steps.
   CellLoad load(base::TimePoint now) const;
 
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -39,7 +39,7 @@
     : table(jobTable), options(dispatcherOptions), random(source), started(start), now(start),
       wallClockMs(wallClock), queue(jobTable) {
   for (const auto &[id, worker] : this->table.state().workers)
-    this->refreshWorker(id);
+    this->refreshWorker(id, SessionCause::NewLeader);
   for (const auto &[id, job] : this->table.state().jobs)
     this->refreshJob(id);
 }
@@ -141,7 +141,7 @@
     this->actions.emplace_back(Command(std::move(command)));
 }
 
-void Dispatcher::State::refreshWorker(const std::string &id) {
+void Dispatcher::State::refreshWorker(const std::string &id, SessionCause cause) {
   const Worker *worker = this->table.findWorker(id);
   this->planNeeded = true;
   if (worker == nullptr) {
@@ -165,6 +165,8 @@
     constexpr base::Duration FormerLeaderTime = std::chrono::seconds(2);
     session.leaseEndsBy =
         leaseEnd(this->now + FormerLeaderTime, this->options.lease, this->options.stopGrace);
+    this->report(SessionBegan{this->keyOf(session), cause, session.leaseEndsBy - this->now,
+                              worker->placements.size()});
   }
   session.worker = worker;
   session.resourcesStale = true;
@@ -175,13 +177,15 @@
   for (auto &[id, session] : this->sessions) {
     if (id != newcomer.incarnation.id && session.worker != nullptr &&
         session.worker->profile.address == newcomer.address)
-      this->doubt(id, session);
+      this->doubt(id, session, DoubtCause::AddressInUse, newcomer.incarnation);
   }
 }
 
-void Dispatcher::State::doubt(const std::string &id, WorkerSession &session) {
+void Dispatcher::State::doubt(const std::string &id, WorkerSession &session, DoubtCause cause,
+                              const WorkerIncarnation &other) {
   if (this->now < session.nextDoubt)
     return;
+  this->report(WorkerDoubted{this->keyOf(session), cause, other.startTimeMs});
   session.nextDoubt = this->now + DoubtInterval;
   session.isDoubted = true;
   session.nextRenewal = this->now;
@@ -275,9 +279,10 @@
   std::vector<const Worker *> newcomers;
   for (const std::string &worker : effect.changedWorkers) {
     const Worker *inTable = dispatcher.table.findWorker(worker);
-    if (inTable != nullptr && dispatcher.sessions.count(worker) == 0)
+    const bool isNew = dispatcher.sessions.count(worker) == 0;
+    if (inTable != nullptr && isNew)
       newcomers.push_back(inTable);
-    dispatcher.refreshWorker(worker);
+    dispatcher.refreshWorker(worker, isNew ? SessionCause::Registered : SessionCause::Restarted);
   }
   // Only now no session points to a worker that this batch has removed.
   for (const Worker *newcomer : newcomers)
@@ -340,7 +345,7 @@
   if (found == this->state->sessions.end())
     return;
   found->second.claimed = claimed;
-  this->state->doubt(found->first, found->second);
+  this->state->doubt(found->first, found->second, DoubtCause::ReportOfAnother, claimed.incarnation);
 }
 
 void Dispatcher::onWorkerLeaving(const std::string &worker, base::TimePoint now) {
@@ -408,6 +413,10 @@
   return this->state->gangDecisions.take();
 }
 
+std::vector<WorkerDecision> Dispatcher::takeWorkerDecisions() {
+  return std::exchange(this->state->decisions, {});
+}
+
 CellLoad Dispatcher::load(base::TimePoint now) const {
   State &dispatcher = *this->state;
   CellLoad load;
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -73,6 +73,7 @@
   std::set<std::string> repeatingJobs; ///< Jobs with occurrences that are not open yet.
   std::vector<Action> actions;
   std::vector<ReleasedRun> releases;
+  std::vector<WorkerDecision> decisions;
   DispatcherCounters counters;
 
   // Jobs.
@@ -83,11 +84,12 @@
   void forgetEndedJobs();
 
   // Workers.
-  void refreshWorker(const std::string &id);
+  void refreshWorker(const std::string &id, SessionCause cause);
   void removeSession(const std::string &id);
   /// Asks the other workers at the address of a new one whether they still live.
   void doubtOthersAt(const WorkerProfile &newcomer);
-  void doubt(const std::string &id, WorkerSession &session);
+  void doubt(const std::string &id, WorkerSession &session, DoubtCause cause,
+             const WorkerIncarnation &other);
   WorkerNumber takeNumber(WorkerSession &session);
   std::optional<WorkerNumber> numberOf(const std::string &worker) const;
   void examineLater(const std::string &worker, const TaskKey &task);
@@ -103,8 +105,11 @@
   void sendStart(const Worker &worker, WorkerSession &session, const RunKey &run, RunStatus &view);
   void sendStop(const Worker &worker, WorkerSession &session, const RunKey &run);
   void sendRenewLease(const Worker &worker, WorkerSession &session);
-  void release(WorkerSession &session, const RunKey &run, RunStatus &view);
-  void removeWorker(const Worker &worker, WorkerSession &session);
+  void release(WorkerSession &session, const RunKey &run, RunStatus &view, ReleaseCause cause);
+  void removeWorker(const Worker &worker, WorkerSession &session, RemovalCause cause);
+  /// Keeps a conclusion for the log.
+  void report(WorkerDecision decision);
+  SessionKey keyOf(const WorkerSession &session) const;
   OrderTarget targetOf(const Worker &worker) const;
   /// Returns worker and session if the order's session still lives, else nulls.
   std::pair<const Worker *, WorkerSession *> find(const OrderSubject &subject);
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -34,6 +34,9 @@
 /// A worker without tasks that does not answer for this long is removed.
 constexpr base::Duration IdleSilence = std::chrono::seconds(6);
 
+/// Maximum number of conclusions kept for the log; further ones are not reported.
+constexpr std::size_t MaxDecisions = 2048;
+
 /// Evidence about the placed run that an order was about; null if another run is placed there now.
 RunStatus *findStatus(const Worker &worker, WorkerSession &session, const RunKey &run) {
   const auto view = session.runs.find(run.task);
@@ -49,6 +52,15 @@
   return {worker.profile.incarnation.id, worker.profile.address, this->options.term};
 }
 
+SessionKey Dispatcher::State::keyOf(const WorkerSession &session) const {
+  return {session.incarnation, this->options.term};
+}
+
+void Dispatcher::State::report(WorkerDecision decision) {
+  if (this->decisions.size() < MaxDecisions)
+    this->decisions.push_back(std::move(decision));
+}
+
 std::pair<const Worker *, WorkerSession *> Dispatcher::State::find(const OrderSubject &subject) {
   const Worker *worker = this->table.findWorker(subject.worker);
   const auto session = this->sessions.find(subject.worker);
@@ -72,25 +84,32 @@
   return subject;
 }
 
-void Dispatcher::State::release(WorkerSession &session, const RunKey &run, RunStatus &view) {
+void Dispatcher::State::release(WorkerSession &session, const RunKey &run, RunStatus &view,
+                                ReleaseCause cause) {
   if (view.releaseProposed)
     return;
+  this->report(RunReleaseDecided{this->keyOf(session), run, cause});
   view.releaseProposed = true;
   ++this->counters.runsReleased;
   this->releases.push_back({run, session.incarnation.id, view.checkpoint});
   this->dirtyWorkers.insert(session.incarnation.id);
 }
 
-void Dispatcher::State::removeWorker(const Worker &worker, WorkerSession &session) {
+void Dispatcher::State::removeWorker(const Worker &worker, WorkerSession &session,
+                                     RemovalCause cause) {
   if (session.removalProposedAt && this->now - *session.removalProposedAt < IdleSilence)
     return;
+  this->report(WorkerRemovalDecided{this->keyOf(session), cause, this->now - session.lastAnswer,
+                                    session.leaseEndsBy - this->now, worker.placements.size()});
   session.removalProposedAt = this->now;
   RemoveWorker command{worker.profile.incarnation, {}};
   for (const auto &[task, placement] : worker.placements) {
+    const RunKey run{task, placement.run};
+    this->report(RunReleaseDecided{this->keyOf(session), run, ReleaseCause::WorkerRemoved});
     const auto view = session.runs.find(task);
     if (view != session.runs.end() && !view->second.checkpoint.empty())
       command.lastCheckpoints.push_back(
-          {{task, placement.run}, worker.profile.incarnation.id, view->second.checkpoint});
+          {run, worker.profile.incarnation.id, view->second.checkpoint});
   }
   ++this->counters.workersRemoved;
   this->actions.emplace_back(Command(std::move(command)));
@@ -200,11 +219,11 @@
     return;
   const bool silent = session.renewalUnanswered || !session.hasAnswered;
   if (silent && this->now >= session.leaseEndsBy) {
-    this->removeWorker(worker, session);
+    this->removeWorker(worker, session, RemovalCause::LeaseEnded);
     return;
   }
   if (silent && worker.placements.empty() && this->now - session.lastAnswer > IdleSilence) {
-    this->removeWorker(worker, session);
+    this->removeWorker(worker, session, RemovalCause::IdleSilence);
     return;
   }
   this->advanceRuns(worker, session);
@@ -253,7 +272,7 @@
     return;
   if (view.stopWanted) {
     if (!view.inherited && view.startsSent == 0) {
-      this->release(session, run, view);
+      this->release(session, run, view, ReleaseCause::NotSent);
     } else if (!view.stopAnswered) {
       view.stopInFlight = true;
       this->sendStop(worker, session, run);
@@ -313,7 +332,7 @@
     view.nextTry = now + RetryPause;
     // Nothing was sent, so the task may be placed on another worker at once.
     if (view.startsSent == 0)
-      dispatcher.release(*session, subject->run, view);
+      dispatcher.release(*session, subject->run, view, ReleaseCause::NotSent);
     return;
   case OrderOutcome::NoAnswer:
     ++dispatcher.counters.startsUnanswered;
@@ -321,7 +340,7 @@
   case OrderOutcome::Fenced:
     return; // A later leader has taken the worker over.
   case OrderOutcome::OtherIncarnation:
-    dispatcher.removeWorker(*worker, *session);
+    dispatcher.removeWorker(*worker, *session, RemovalCause::OtherWorkerAnswers);
     return;
   case OrderOutcome::LeaseTooLate:
   case OrderOutcome::NoRoom:
@@ -331,7 +350,7 @@
     ++dispatcher.counters.startsRejected;
     // An earlier copy of the order may still be executed.
     if (view.startsSent == 1)
-      dispatcher.release(*session, subject->run, view);
+      dispatcher.release(*session, subject->run, view, ReleaseCause::Refused);
     else
       view.stopWanted = true;
     return;
@@ -346,7 +365,7 @@
   if (session == nullptr)
     return;
   if (answer.outcome == OrderOutcome::OtherIncarnation) {
-    dispatcher.removeWorker(*worker, *session);
+    dispatcher.removeWorker(*worker, *session, RemovalCause::OtherWorkerAnswers);
     return;
   }
   RunStatus *found = findStatus(*worker, *session, subject->run);
@@ -399,7 +418,8 @@
     const bool barred = placement.term < this->options.term && !placement.previousIncarnation;
     const bool settled = (view.startAnswered || view.stopAnswered) && sentAt > view.answeredAt;
     if (barred || settled)
-      this->release(session, run, view);
+      this->release(session, run, view,
+                    settled ? ReleaseCause::NotListed : ReleaseCause::FormerLeader);
   }
   for (const auto &[run, seen] : running) {
     // Not placed here: the lease expired and its runs were released, but the worker came back.
@@ -410,6 +430,7 @@
 
 void Dispatcher::State::proposeRestart(const Worker &worker, const WorkerSession &session,
                                        std::int64_t startTimeMs) {
+  this->report(RestartSeen{this->keyOf(session), startTimeMs});
   RestartWorker command{session.incarnation, worker.profile};
   const bool isClaimed = session.claimed &&
                          session.claimed->incarnation.startTimeMs == startTimeMs &&
@@ -439,11 +460,17 @@
   dispatcher.dirtyWorkers.insert(session->incarnation.id);
   if (answer.outcome == OrderOutcome::OtherIncarnation ||
       (session->leaving && answer.outcome == OrderOutcome::NotSent)) {
-    dispatcher.removeWorker(*worker, *session);
+    dispatcher.removeWorker(*worker, *session,
+                            answer.outcome == OrderOutcome::NotSent
+                                ? RemovalCause::Left
+                                : RemovalCause::OtherWorkerAnswers);
     return;
   }
   if (answer.outcome != OrderOutcome::Accepted) {
     ++dispatcher.counters.renewalsUnanswered;
+    if (!session->renewalUnanswered)
+      dispatcher.report(
+          WorkerFellSilent{dispatcher.keyOf(*session), session->leaseEndsBy - dispatcher.now});
     session->renewalUnanswered = true;
     session->nextRenewal = now + RetryPause;
     return;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -188,6 +188,7 @@
       std::vector<jobs::Action> actions = this->dispatcher->takeActions(this->now, wallClock);
       for (jobs::Action &action : actions)
         this->execute(std::move(action));
+      this->logWorkers();
       this->logGangs();
       this->logLoad();
       this->group->work(this->now, wallClock);
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -172,8 +172,9 @@
   void expireRelayed();
   void askAdvice(const wire::AdviceRequest &ask, std::function<void(jobs::AdviceAnswer)> done);
   void updateAdvisers();
-  /// Log what the dispatcher decided about gangs, and the load of the workers. Precondition: this
-  /// node leads.
+  /// Log what the dispatcher concluded about workers and their runs, what it decided about gangs,
+  /// and the load of the workers. Precondition: this node leads.
+  void logWorkers() const;
   void logGangs() const;
   void logLoad();
 
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -1,5 +1,6 @@
 // Executes the leader's orders: calls to workers, and to the advisory service through any node.
 #include "NodeState.h"
+#include "WorkerLog.h"
 #include "banyanrill/base/EventLog.h"
 #include "banyanrill/base/Hash.h"
 
@@ -36,28 +37,6 @@
 /// Interval of the lines that show how full the workers are.
 constexpr base::Duration LoadLogInterval = std::chrono::seconds(1);
 
-void logOrder(const jobs::WorkerOrder &order, const jobs::WorkerAnswer &answer) {
-  const auto outcome = std::visit([](const auto &typed) { return typed.outcome; }, answer);
-  const std::string text(jobs::nameOf(outcome));
-  const auto logRun = [&text](base::Event event, const jobs::RunKey &run,
-                              const std::string &worker) {
-    base::logEvent(event, {{"job", run.task.job},
-                           {"step", std::to_string(run.task.step)},
-                           {"task", std::to_string(run.task.index)},
-                           {"run", std::to_string(run.run)},
-                           {"worker", worker},
-                           {"outcome", text}});
-  };
-  if (const auto *start = std::get_if<jobs::StartOrder>(&order))
-    logRun(base::Event::RunOrdered, start->run, start->target.worker);
-  else if (const auto *stop = std::get_if<jobs::StopOrder>(&order))
-    logRun(base::Event::RunStopOrdered, stop->run, stop->target.worker);
-  else if (const auto *hold = std::get_if<jobs::RenewLeaseOrder>(&order);
-           hold != nullptr && outcome != jobs::OrderOutcome::Accepted)
-    base::logEvent(base::Event::WorkerNotHeld,
-                   {{"worker", hold->target.worker}, {"outcome", text}});
-}
-
 std::string_view nameOf(const jobs::WorkerOrder &order) {
   static constexpr std::array<std::string_view, 4> Names = {"start", "stop", "hold", "pace"};
   return Names.at(order.index());
@@ -273,6 +252,11 @@
                  });
 }
 
+void Node::State::logWorkers() const {
+  for (const jobs::WorkerDecision &decision : this->dispatcher->takeWorkerDecisions())
+    logDecision(decision);
+}
+
 void Node::State::logGangs() const {
   const auto milliseconds = [](base::Duration duration) {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
