--- a/packages/jobs/tests/StopAnswerTest.cpp
+++ b/packages/jobs/tests/StopAnswerTest.cpp
@@ -1,78 +1,11 @@
 // Guards against an answer about one run of a task that is applied to another run.
-#include "banyanrill/jobs/Dispatcher.h"
+#include "ManualCell.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace banyanrill;
 using namespace banyanrill::jobs;
-
-namespace {
-
-constexpr std::int64_t EpochMs = 1700000000000;
-
-/// One worker and one job with one task. The test delivers each answer itself.
-struct ManualCell {
-  ManualCell() {
-    Configuration configuration;
-    configuration.version = 1;
-    Queue queue;
-    queue.name = "queue";
-    queue.service = "service";
-    configuration.queues = {queue};
-    WorkerProfile profile;
-    profile.incarnation = {"w", 7};
-    profile.service = "service";
-    profile.address = "10.0.0.1:80";
-    profile.capacity = {4000, 4000, 0};
-    JobSpec spec;
-    spec.id = "job";
-    spec.steps.resize(1);
-    spec.steps[0].count = 1;
-    spec.steps[0].demand = {1000, 100, 0};
-    spec.steps[0].estimatedMs = 1000;
-    this->table.apply({EpochMs, {PutConfiguration{configuration}, RegisterWorker{profile}}});
-    this->lead(5);
-    this->apply({AcceptJob{spec, queue}});
-  }
-
-  void lead(std::uint64_t term) {
-    this->dispatcher = std::make_unique<Dispatcher>(this->table, DispatcherOptions{term},
-                                                    base::RandomSource(1), this->now, EpochMs);
-  }
-
-  void apply(std::vector<Command> commands) {
-    const CommandBatch batch{EpochMs, std::move(commands)};
-    const Effect effect = this->table.apply(batch);
-    this->dispatcher->onApplied(batch, effect, this->now);
-  }
-
-  /// Commits the proposed commands and returns the orders.
-  std::vector<Action> step(std::int64_t milliseconds) {
-    this->now += std::chrono::milliseconds(milliseconds);
-    std::vector<Action> orders;
-    for (Action &action : this->dispatcher->takeActions(this->now, EpochMs)) {
-      if (auto *command = std::get_if<Command>(&action))
-        this->apply({std::move(*command)});
-      else
-        orders.push_back(std::move(action));
-    }
-    return orders;
-  }
-
-  template <typename Order> const Order *find(const std::vector<Action> &orders) const {
-    for (const Action &order : orders) {
-      if (const auto *typed = std::get_if<Order>(&order))
-        return typed;
-    }
-    return nullptr;
-  }
-
-  Table table;
-  base::TimePoint now{std::chrono::seconds(100)};
-  std::unique_ptr<Dispatcher> dispatcher;
-};
-
-} // namespace
+using namespace banyanrill::jobs::test;
 
 TEST_GROUP(StopAnswer){};
 
