Count the longest lease for a worker whose earlier orders are not known

The class of fault: a permission of a former incarnation that counts in the next one.

Cause: the end of a lease is a time on the worker's clock, and each incarnation's clock starts anew. A renewal that was made with the former clock is far ahead on the new one, so the worker runs on for its longest lease (10 s); the leader's new session counted its own lease (5 s, 7.8 s with margins), placed the tasks again when that had passed, and both ran.

A new session now counts the longest lease until the worker first answers in it, and from that answer on the longest lease once more: whatever was ordered before cannot last longer. This holds for a new leader and after a removal as well, since none of them knows which clock earlier orders meant.

--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -19,6 +19,8 @@
   /// Long enough for an election and the new leader's first lease renewals, short enough that the
   /// tasks of a dead worker are placed again soon.
   base::Duration lease = std::chrono::seconds(5);
+  /// A worker shortens a longer lease to this, on its clock.
+  base::Duration maxLease = std::chrono::seconds(10);
   /// A task may still run this long after a stop or the end of its lease.
   base::Duration stopGrace = std::chrono::milliseconds(400);
   /// The other members of a gang must have started within this time.
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -161,10 +161,11 @@
     session.incarnation = worker->profile.incarnation;
     session.slowness = this->speeds.slowness(id);
     session.lastAnswer = this->now;
-    // A previous leader may have renewed the lease until it noticed the loss of leadership.
+    // A previous leader may have renewed the lease until it noticed the loss of leadership. Of what
+    // it renewed only the longest is known: the end may have been meant for another clock.
     constexpr base::Duration FormerLeaderTime = std::chrono::seconds(2);
     session.leaseEndsBy =
-        leaseEnd(this->now + FormerLeaderTime, this->options.lease, this->options.stopGrace);
+        leaseEnd(this->now + FormerLeaderTime, this->options.maxLease, this->options.stopGrace);
     this->report(SessionBegan{this->keyOf(session), cause, session.leaseEndsBy - this->now,
                               worker->placements.size()});
   }
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -481,8 +481,11 @@
     session->nextRenewal = now + RetryPause;
     return;
   }
-  if (!session->hasAnswered)
+  if (!session->hasAnswered) {
     dispatcher.planNeeded = true;
+    // Until now an order of an earlier session may have given it a lease.
+    session->leaseEndsBy = leaseEnd(now, dispatcher.options.maxLease, dispatcher.options.stopGrace);
+  }
   // The poll after an unanswered renewal carried no lease; the next renewal follows at once.
   session->nextRenewal = session->renewalUnanswered ? now : now + RenewalPause;
   session->renewalUnanswered = false;
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -218,6 +218,7 @@
   dispatcherOptions.term = this->group->term();
   dispatcherOptions.stopGrace = this->options.stopGrace;
   dispatcherOptions.gangTimeout = this->options.gangTimeout;
+  dispatcherOptions.maxLease = this->options.maxLease;
   dispatcherOptions.lease = std::min(dispatcherOptions.lease, this->options.maxLease);
   this->dispatcher = std::make_unique<jobs::Dispatcher>(this->group->table(), dispatcherOptions,
                                                         base::RandomSource(this->random.next()),
