Give each session with a worker a fencing token of its own

The class of fault: an order of a former incarnation that is carried out in the next one. The order can be seconds late, and the header that names the expected worker cannot tell two incarnations under one identifier apart.

Cause: the fencing token was the leader's term, the same before and after a restart, so a late start, stop or renewal of the former incarnation was taken.

The token is now the term, and below it the number of the session, which rises for every registration, restart and change of leader and never falls for one worker, whatever is removed in between. From the first answer of a new session on the worker refuses everything that was ordered before. So a list read then is complete: a run of the former incarnation that is not in it is released at once, without a stop and a second look.

--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -15,7 +15,7 @@
 namespace banyanrill::jobs {
 
 struct DispatcherOptions {
-  std::uint64_t term = 0; ///< Fencing token of all orders.
+  std::uint64_t term = 0; ///< The upper part of all fencing tokens.
   /// Long enough for an election and the new leader's first lease renewals, short enough that the
   /// tasks of a dead worker are placed again soon.
   base::Duration lease = std::chrono::seconds(5);
--- a/packages/jobs/include/banyanrill/jobs/Model.h
+++ b/packages/jobs/include/banyanrill/jobs/Model.h
@@ -163,7 +163,7 @@
 /// A run that occupies a worker until its end is recorded or it is known not to exist.
 struct Placement {
   std::uint32_t run = 0;
-  std::uint64_t term = 0; ///< Of the leader that placed it; its fencing token.
+  std::uint64_t term = 0; ///< Of the leader that placed it.
   bool previousIncarnation =
       false; ///< Placed on an earlier incarnation of the worker with the same identifier.
 
--- a/packages/jobs/include/banyanrill/jobs/Orders.h
+++ b/packages/jobs/include/banyanrill/jobs/Orders.h
@@ -20,7 +20,8 @@
   bool operator==(const OrderId &) const = default;
 };
 
-/// The worker that an order is meant for, and the fencing token of the leader that sends it.
+/// The worker that an order is meant for, and the fencing token of the leader's session with this
+/// incarnation of it.
 struct OrderTarget {
   std::string worker;
   std::string address; ///< host:port
--- a/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
+++ b/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
@@ -37,11 +37,11 @@
 std::string_view nameOf(RemovalCause cause);
 
 enum class ReleaseCause : std::uint8_t {
-  NotSent,       ///< No order to start it was sent.
-  Refused,       ///< The only order to start it was refused.
-  NotListed,     ///< The worker does not list it, after it answered a start or a stop of the run.
-  FormerLeader,  ///< The worker does not list it, and refuses the orders of the leader that placed
-                 ///< it.
+  NotSent,   ///< No order to start it was sent.
+  Refused,   ///< The only order to start it was refused.
+  NotListed, ///< The worker does not list it, after it answered a start or a stop of the run.
+  /// The worker does not list it, and refuses orders of the time when it was placed.
+  EarlierSession,
   WorkerRemoved, ///< With all runs of its worker.
 };
 
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -110,7 +110,9 @@
   /// Keeps a conclusion for the log.
   void report(WorkerDecision decision);
   SessionKey keyOf(const WorkerSession &session) const;
-  OrderTarget targetOf(const Worker &worker) const;
+  /// Bars every order of an earlier session from the worker's first answer on.
+  std::uint64_t fencingTokenOf(const WorkerSession &session) const;
+  OrderTarget targetOf(const Worker &worker, const WorkerSession &session) const;
   /// Returns worker and session if the order's session still lives, else nulls.
   std::pair<const Worker *, WorkerSession *> find(const OrderSubject &subject);
   OrderId nextOrder() { return {this->options.term, ++this->lastOrder}; }
--- a/packages/jobs/src/WorkerDecision.cpp
+++ b/packages/jobs/src/WorkerDecision.cpp
@@ -23,7 +23,7 @@
 
 std::string_view nameOf(ReleaseCause cause) {
   static constexpr std::array<std::string_view, 5> Names = {"not_sent", "refused", "not_listed",
-                                                            "former_leader", "worker_removed"};
+                                                            "earlier_session", "worker_removed"};
   return Names.at(static_cast<std::size_t>(cause));
 }
 
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -2,11 +2,17 @@
 #include "DispatcherState.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace banyanrill::jobs {
 
 namespace {
 
+/// Lower bits of a fencing token, for the session; the term stands above them. So a token never
+/// falls for one worker, whether it restarts, is removed and registers again, or the leader
+/// changes.
+constexpr unsigned SessionBits = 32;
+
 /// The worker delays its answer to a lease renewal up to this long until a task ends; this also
 /// limits the age of the known state.
 constexpr base::Duration RenewalWait = std::chrono::milliseconds(1000);
@@ -48,12 +54,17 @@
 
 } // namespace
 
-OrderTarget Dispatcher::State::targetOf(const Worker &worker) const {
-  return {worker.profile.incarnation.id, worker.profile.address, this->options.term};
+std::uint64_t Dispatcher::State::fencingTokenOf(const WorkerSession &session) const {
+  assert(session.serial < std::uint64_t(1) << SessionBits);
+  return (this->options.term << SessionBits) | session.serial;
+}
+
+OrderTarget Dispatcher::State::targetOf(const Worker &worker, const WorkerSession &session) const {
+  return {worker.profile.incarnation.id, worker.profile.address, this->fencingTokenOf(session)};
 }
 
 SessionKey Dispatcher::State::keyOf(const WorkerSession &session) const {
-  return {session.incarnation, this->options.term};
+  return {session.incarnation, this->fencingTokenOf(session)};
 }
 
 void Dispatcher::State::report(WorkerDecision decision) {
@@ -118,7 +129,7 @@
 void Dispatcher::State::sendRenewLease(const Worker &worker, WorkerSession &session) {
   RenewLeaseOrder order;
   order.id = this->nextOrder();
-  order.target = this->targetOf(worker);
+  order.target = this->targetOf(worker, session);
   order.recordedEnds = worker.recordedEnds;
   // A worker that does not answer is only polled: each lease that it may have received would delay
   // the time from which nothing runs there.
@@ -143,7 +154,7 @@
     return;
   StartOrder order;
   order.id = this->nextOrder();
-  order.target = this->targetOf(worker);
+  order.target = this->targetOf(worker, session);
   order.run = run;
   order.taskSpec = job->spec.taskSpec;
   order.leaseUntilMs = *lease;
@@ -164,7 +175,7 @@
 void Dispatcher::State::sendStop(const Worker &worker, WorkerSession &session, const RunKey &run) {
   StopOrder order;
   order.id = this->nextOrder();
-  order.target = this->targetOf(worker);
+  order.target = this->targetOf(worker, session);
   order.run = run;
   session.recordCall(this->now);
   ++session.callsInFlight;
@@ -414,12 +425,12 @@
     }
     if (ended.count(run) != 0 || answer.ended.size() >= FullEndList)
       continue;
-    // The worker has seen this leader's fencing token, so it rejects orders of earlier leaders.
-    const bool barred = placement.term < this->options.term && !placement.previousIncarnation;
+    // The worker has seen this session's fencing token, so it rejects all earlier orders.
+    const bool barred = placement.term < this->options.term || placement.previousIncarnation;
     const bool settled = (view.startAnswered || view.stopAnswered) && sentAt > view.answeredAt;
     if (barred || settled)
       this->release(session, run, view,
-                    settled ? ReleaseCause::NotListed : ReleaseCause::FormerLeader);
+                    settled ? ReleaseCause::NotListed : ReleaseCause::EarlierSession);
   }
   for (const auto &[run, seen] : running) {
     // Not placed here: the lease expired and its runs were released, but the worker came back.
