Ask a worker in doubt who it is before it gets anything else

Cause: when a report named another incarnation, the worker was asked at once, and the question carried a lease on the former incarnation's clock and the number of the former incarnation's recorded ends. So the question itself gave the new incarnation the lease of 10 s that the leader did not count, and made it forget its first ends unseen. A poll after a silence and a new leader's first call carried the number of ends as well, and a new leader that knew a clock from a report also a lease. Between the answer that showed the restart and its commit, starts and renewals for the former incarnation went on.

A worker now gets leases, the number of recorded ends, starts and stops only while this incarnation was the last to answer; after a silence, a doubt, a restart that is not yet recorded, and at the start of a session it is only asked who it is and what runs there. The planner leaves such workers out.

Tried and not kept: a renewal at once after the first answer of a session; it changes when the orders of a test leave, for 30 ms that no caller sees.

--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -129,8 +129,8 @@
 }
 
 bool Dispatcher::State::mayGetTasks(const WorkerSession &session, base::TimePoint at) const {
-  if (session.worker->profile.draining || session.leaving || !session.hasAnswered ||
-      session.renewalUnanswered || !session.clock || session.removalProposedAt)
+  if (session.worker->profile.draining || session.leaving || !session.isConfirmed() ||
+      !session.clock || session.removalProposedAt)
     return false;
   return !session.isAvoided(at) && !session.isSilent(at) &&
          session.callsInFlight < MaxOrdersWaiting;
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -130,17 +130,18 @@
   RenewLeaseOrder order;
   order.id = this->nextOrder();
   order.target = this->targetOf(worker, session);
-  order.recordedEnds = worker.recordedEnds;
-  // A worker that does not answer is only polled: each lease that it may have received would delay
-  // the time from which nothing runs there.
-  if (!session.renewalUnanswered)
+  // Else it is only asked who it is. A lease would also delay the time from which nothing runs on a
+  // silent worker.
+  if (session.isConfirmed()) {
+    order.recordedEnds = worker.recordedEnds;
     order.leaseUntilMs =
         session.extendLease(this->options.lease, this->options.stopGrace, this->now);
-  if (session.hasAnswered && !session.renewalUnanswered && !session.isDoubted)
     order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(RenewalWait).count();
+  }
   this->expectAnswer(order.id, session, {});
   session.renewalInFlight = true;
-  session.isDoubted = false;
+  if (session.isDoubted)
+    session.question = order.id;
   ++this->counters.renewals;
   this->actions.emplace_back(std::move(order));
 }
@@ -238,7 +239,7 @@
     return;
   }
   this->advanceRuns(worker, session);
-  const bool mayAsk = !session.renewalInFlight || session.isDoubted;
+  const bool mayAsk = session.isDoubted ? !session.question.has_value() : !session.renewalInFlight;
   if (mayAsk && !session.endsProposed && this->now >= session.nextRenewal)
     this->sendRenewLease(worker, session);
 }
@@ -248,7 +249,7 @@
     return;
   session.unsettledRuns = 0;
   for (const auto &[task, placement] : worker.placements) {
-    if (!session.renewalUnanswered) {
+    if (session.isConfirmed()) {
       this->advanceRun(worker, session, task, placement);
       const auto run = session.runs.find(task);
       const bool isSettled = run != session.runs.end() && run->second.isSettled();
@@ -468,6 +469,9 @@
   if (session == nullptr)
     return;
   session->renewalInFlight = false;
+  const bool isQuestion = session->question == order;
+  if (isQuestion)
+    session->question.reset();
   dispatcher.dirtyWorkers.insert(session->incarnation.id);
   if (answer.outcome == OrderOutcome::OtherIncarnation ||
       (session->leaving && answer.outcome == OrderOutcome::NotSent)) {
@@ -489,6 +493,7 @@
   if (answer.startTimeMs && session->incarnation.startTimeMs != 0 &&
       *answer.startTimeMs != session->incarnation.startTimeMs) {
     dispatcher.proposeRestart(*worker, *session, *answer.startTimeMs);
+    session->isDoubted = true; // Until the restart is recorded.
     session->nextRenewal = now + RetryPause;
     return;
   }
@@ -501,6 +506,8 @@
   session->nextRenewal = session->renewalUnanswered ? now : now + RenewalPause;
   session->renewalUnanswered = false;
   session->hasAnswered = true;
+  if (isQuestion)
+    session->isDoubted = false;
   session->recordAnswered(now);
   session->lastAnswer = now;
   session->readClock(answer.clockMs, now);
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -87,13 +87,15 @@
       0; ///< Never reused by one dispatcher; answers to earlier sessions are void.
   WorkerIncarnation incarnation;
   const Worker *worker = nullptr; ///< In the table, as long as the session lives.
-  bool hasAnswered = false;       ///< Has answered under this leader's fence.
+  bool hasAnswered = false;       ///< This incarnation has answered in this session.
   bool leaving = false;           ///< Has said that it ends now.
   std::optional<ClockReading> clock;
   bool renewalInFlight = false;
   bool renewalUnanswered = false; ///< The last hold was not answered.
-  /// A report casts doubt on this life: it is asked at once, beside a renewal that waits.
+  /// Another incarnation may have taken its place: it is asked at once, beside a renewal that
+  /// waits.
   bool isDoubted = false;
+  std::optional<OrderId> question; ///< The renewal whose answer settles the doubt.
   base::TimePoint nextDoubt = base::TimePoint::min(); ///< Earlier doubts are not followed.
   std::optional<WorkerProfile> claimed; ///< The last report of another life under this id.
   std::optional<base::TimePoint> removalProposedAt;
@@ -123,6 +125,12 @@
 
   void readClock(std::optional<std::int64_t> clockMs, base::TimePoint now);
 
+  /// Whether this incarnation answered last, so that it may get what holds for it alone: a lease on
+  /// its clock, the number of its recorded ends, starts and stops.
+  bool isConfirmed() const {
+    return this->hasAnswered && !this->renewalUnanswered && !this->isDoubted;
+  }
+
   /// A lease that begins now. \returns its end on the worker's clock.
   std::optional<std::int64_t> extendLease(base::Duration lease, base::Duration stopGrace,
                                           base::TimePoint now);
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -15,6 +15,23 @@
 constexpr std::int64_t NextStartMs = 9000;
 const TaskKey OnlyTask{"job", 0, 0, 0};
 
+RenewLeaseAnswer answerOf(std::int64_t startTimeMs, std::int64_t clockMs) {
+  return {OrderOutcome::Accepted, clockMs, startTimeMs, {}, {}};
+}
+
+/// Answers the next renewal of the lease. \returns the renewal.
+RenewLeaseOrder renew(ManualCell &cell, const RenewLeaseAnswer &answer) {
+  for (int round = 0; round < 20; ++round) {
+    const std::vector<Action> orders = cell.step(10);
+    if (const RenewLeaseOrder *hold = cell.find<RenewLeaseOrder>(orders)) {
+      cell.dispatcher->onRenewLeaseAnswer(hold->id, answer, cell.now);
+      return *hold;
+    }
+  }
+  FAIL("the lease is not renewed");
+  return {};
+}
+
 /// The next order of a type within 200 ms.
 template <typename Order> std::optional<Order> next(ManualCell &cell) {
   for (int round = 0; round < 20; ++round) {
@@ -82,3 +99,68 @@
   cell.apply({RegisterWorker{former}});
   checkRise("removal and registration at a new leader");
 }
+
+/// The question who answers carried a lease and a count of ends of the life in doubt.
+TEST(RestartedWorker, InDoubtIsAskedWithoutLeaseAndCount) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  cell.apply({RecordEnds{{"w", FormerStartMs}, {{5, {OnlyTask, 1}, EndKind::Stopped, ""}}}});
+  cell.dispatcher->onWorkerClaim(nextLife(cell), cell.now);
+  const std::optional<RenewLeaseOrder> question = next<RenewLeaseOrder>(cell);
+  CHECK(question.has_value());
+  CHECK(!question->leaseUntilMs.has_value());
+  CHECK_EQUAL(0U, question->recordedEnds);
+}
+
+/// The same after a silence, in which it may have restarted.
+TEST(RestartedWorker, AfterASilenceIsAskedWithoutCount) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  cell.apply({RecordEnds{{"w", FormerStartMs}, {{5, {OnlyTask, 1}, EndKind::Stopped, ""}}}});
+  renew(cell, RenewLeaseAnswer());
+  const std::optional<RenewLeaseOrder> question = next<RenewLeaseOrder>(cell);
+  CHECK(question.has_value());
+  CHECK(!question->leaseUntilMs.has_value());
+  CHECK_EQUAL(0U, question->recordedEnds);
+}
+
+/// A new leader's first call made a worker forget ends that nobody had recorded.
+TEST(RestartedWorker, IsAskedByANewLeaderWithoutLeaseAndCount) {
+  ManualCell cell;
+  cell.apply({RecordEnds{{"w", FormerStartMs}, {{5, {OnlyTask, 1}, EndKind::Stopped, ""}}}});
+  cell.lead(6);
+  cell.dispatcher->onWorkerReport({cell.table.findWorker("w")->profile, 1000, 1}, cell.now);
+  const std::optional<RenewLeaseOrder> question = next<RenewLeaseOrder>(cell);
+  CHECK(question.has_value());
+  CHECK(!question->leaseUntilMs.has_value());
+  CHECK_EQUAL(0U, question->recordedEnds);
+}
+
+/// Between the answer that shows the restart and its commit, orders with the former clock left.
+TEST(RestartedWorker, GetsNoOrderUntilItsRestartIsRecorded) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 1}, "w"}}}});
+  const std::optional<StartOrder> start = next<StartOrder>(cell);
+  CHECK(start.has_value());
+  cell.dispatcher->onStartAnswer(start->id, OrderAnswer(), cell.now);
+  std::optional<RenewLeaseOrder> question;
+  std::vector<Command> uncommitted;
+  for (int round = 0; round < 60; ++round) {
+    cell.now += std::chrono::milliseconds(10);
+    for (const Action &action : cell.dispatcher->takeActions(cell.now, EpochMs)) {
+      if (const auto *command = std::get_if<Command>(&action)) {
+        if (std::holds_alternative<RestartWorker>(*command))
+          uncommitted.push_back(*command);
+        continue;
+      }
+      CHECK_TEXT(uncommitted.empty() || std::holds_alternative<RenewLeaseOrder>(action),
+                 "an order left after the restart was seen");
+      if (const auto *hold = std::get_if<RenewLeaseOrder>(&action)) {
+        CHECK(uncommitted.empty() || !hold->leaseUntilMs.has_value());
+        cell.dispatcher->onRenewLeaseAnswer(hold->id, answerOf(NextStartMs, 20), cell.now);
+      }
+    }
+  }
+  CHECK(!uncommitted.empty());
+}
