Record an end that a restarted worker lists of a run ordered before

A start that was under way when its worker restarted can be carried out in the worker's next incarnation. When that run ended there and was listed, the table counted the end as recorded, so the worker might forget it, but did not end the run: it was released and the task started again after its success.

A run number is used once, so an end that the present incarnation lists of it can only be of this very run. The table records it now.

RestartedWorker.SuccessOfARunThatWasOrderedBeforeTheRestartIsRecorded failed before ("CHECK(... phase == JobPhase::Succeeded)") and passes now.

--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -169,8 +169,7 @@
       continue;
     worker.recordedEnds = end.number;
     const auto placement = worker.placements.find(end.run.task);
-    if (placement == worker.placements.end() || placement->second.run != end.run.run ||
-        placement->second.previousIncarnation)
+    if (placement == worker.placements.end() || placement->second.run != end.run.run)
       continue;
     worker.placements.erase(placement);
     this->endRun(end, effect);
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -164,3 +164,14 @@
   }
   CHECK(!uncommitted.empty());
 }
+
+/// A run that was ordered before the restart and carried out after it was done, and was started
+/// again elsewhere.
+TEST(RestartedWorker, SuccessOfARunThatWasOrderedBeforeTheRestartIsRecorded) {
+  ManualCell cell;
+  const RunKey run{OnlyTask, 1};
+  cell.apply({PlaceRuns{5, {{run, "w"}}}});
+  cell.apply({RestartWorker{{"w", FormerStartMs}, nextLife(cell)}});
+  cell.apply({RecordEnds{{"w", NextStartMs}, {{1, run, EndKind::Succeeded, ""}}}});
+  CHECK(cell.table.findJob("job")->phase == JobPhase::Succeeded);
+}
