Start no run on a worker's incarnation that it was not planned for

The pending run now names the session for which it was planned; a placement that finds another one is released without an order.

RestartedWorker.GetsNoRunThatWasPlannedForItsFormerLife failed before ("CHECK(!start || ...)") and passes now. test_jobs: 72 of 72 without StepStarvation.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -299,6 +299,8 @@
     if (pending != nullptr && pending->run == placed.run.run) {
       view.ticket = pending->ticket;
       view.ticketUntil = pending->ticketUntil;
+      // Another incarnation may have other labels and less room.
+      view.stopWanted = pending->session != session->second.serial;
     }
     session->second.runs[placed.run.task] = std::move(view);
   }
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -16,6 +16,7 @@
 /// A run that was proposed to the log and is not yet in the table.
 struct PendingRun {
   std::string worker;
+  std::uint64_t session = 0; ///< With the incarnation of the worker that was chosen.
   std::uint32_t run = 0;
   std::string ticket;
   base::TimePoint ticketUntil = base::TimePoint::max();
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -291,6 +291,7 @@
   const std::string &id = session.incarnation.id;
   PendingRun &pendingRun = this->pending[open.key][index];
   pendingRun.worker = id;
+  pendingRun.session = session.serial;
   pendingRun.run = run;
   if (const Ticket *ticket = this->adviceTracker.ticketFor(open.key, session.number, this->now)) {
     pendingRun.ticket = ticket->value;
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -175,3 +175,24 @@
   cell.apply({RecordEnds{{"w", NextStartMs}, {{1, run, EndKind::Succeeded, ""}}}});
   CHECK(cell.table.findJob("job")->phase == JobPhase::Succeeded);
 }
+
+/// The capacity and the labels for which the place was chosen may have changed with the life.
+TEST(RestartedWorker, GetsNoRunThatWasPlannedForItsFormerLife) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  std::optional<PlaceRuns> planned;
+  for (int round = 0; round < 20 && !planned; ++round) {
+    cell.now += std::chrono::milliseconds(10);
+    for (const Action &action : cell.dispatcher->takeActions(cell.now, EpochMs)) {
+      if (const auto *command = std::get_if<Command>(&action);
+          command != nullptr && std::holds_alternative<PlaceRuns>(*command))
+        planned = std::get<PlaceRuns>(*command);
+    }
+  }
+  CHECK(planned.has_value());
+  cell.apply({RestartWorker{{"w", FormerStartMs}, nextLife(cell)}});
+  cell.apply({*planned});
+  renew(cell, answerOf(NextStartMs, 20));
+  const std::optional<StartOrder> start = next<StartOrder>(cell);
+  CHECK(!start || start->run.run != planned->runs.front().run.run);
+}
