Notice a restarted worker by the clock in its answer to an order

The dispatcher kept the higher of two readings: an answer of the next incarnation with a lower clock went unnoticed, and one with a higher clock was taken for the former one's time, from which further leases were counted.

An answer whose clock this incarnation cannot have read between the sending of the order and its answer (3% for the rate, 50 ms for rounding, 2 s for a slow way back) now casts doubt on the incarnation, and the worker is asked who it is. A wrong doubt costs one question, and the answer sets the clock anew.

--- a/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
+++ b/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
@@ -21,6 +21,7 @@
 enum class DoubtCause : std::uint8_t {
   ReportOfAnother, ///< A report names another incarnation or address under this identifier.
   AddressInUse,    ///< Another worker has registered at the address.
+  OtherClock,      ///< An answer comes from another clock.
 };
 
 /// Thread-safe.
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -184,7 +184,8 @@
 
 void Dispatcher::State::doubt(const std::string &id, WorkerSession &session, DoubtCause cause,
                               const WorkerIncarnation &other) {
-  if (this->now < session.nextDoubt)
+  // Others may report as often as they like; an answer is the worker's own.
+  if (cause != DoubtCause::OtherClock && this->now < session.nextDoubt)
     return;
   this->report(WorkerDoubted{this->keyOf(session), cause, other.startTimeMs});
   session.nextDoubt = this->now + DoubtInterval;
--- a/packages/jobs/src/WorkerDecision.cpp
+++ b/packages/jobs/src/WorkerDecision.cpp
@@ -11,7 +11,8 @@
 }
 
 std::string_view nameOf(DoubtCause cause) {
-  static constexpr std::array<std::string_view, 2> Names = {"report_of_another", "address_in_use"};
+  static constexpr std::array<std::string_view, 3> Names = {"report_of_another", "address_in_use",
+                                                            "other_clock"};
   return Names.at(static_cast<std::size_t>(cause));
 }
 
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -311,7 +311,10 @@
     --session->callsInFlight;
     if (answer.outcome != OrderOutcome::NoAnswer && answer.outcome != OrderOutcome::NotSent)
       session->recordAnswered(this->now);
-    session->readClock(answer.clockMs, this->now);
+    if (answer.clockMs && !session->isOwnClock(*answer.clockMs, subject->sentAt, this->now))
+      this->doubt(session->incarnation.id, *session, DoubtCause::OtherClock, {});
+    else
+      session->readClock(answer.clockMs, this->now);
     this->dirtyWorkers.insert(session->incarnation.id);
   }
   return found;
@@ -506,8 +509,10 @@
   session->nextRenewal = session->renewalUnanswered ? now : now + RenewalPause;
   session->renewalUnanswered = false;
   session->hasAnswered = true;
-  if (isQuestion)
+  if (isQuestion) {
     session->isDoubted = false;
+    session->clock.reset(); // What this answer says of it counts.
+  }
   session->recordAnswered(now);
   session->lastAnswer = now;
   session->readClock(answer.clockMs, now);
--- a/packages/jobs/src/WorkerSession.cpp
+++ b/packages/jobs/src/WorkerSession.cpp
@@ -13,6 +13,11 @@
 /// Age of a clock reading plus scheduling delays at the worker.
 constexpr base::Duration LeaseMargin = std::chrono::milliseconds(250);
 
+/// What a reading may be off beside the rate of the clock: rounding, and an answer that was long
+/// under way before it was taken for the present time.
+constexpr double EarlyClockMs = 50;
+constexpr double LateClockMs = 2000;
+
 /// An order and its answer take some 60 ms through a relay, with a busy processor at each end.
 constexpr base::Duration SilenceLimit = std::chrono::milliseconds(150);
 
@@ -52,6 +57,18 @@
     this->clock = ClockReading{*clockMs, now};
 }
 
+bool WorkerSession::isOwnClock(std::int64_t clockMs, base::TimePoint sentAt,
+                               base::TimePoint now) const {
+  if (!this->clock)
+    return true;
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const double passed = static_cast<double>(clockMs - this->clock->clockMs);
+  const double least = Milliseconds(sentAt - this->clock->at).count();
+  const double most = Milliseconds(now - this->clock->at).count();
+  const double lowest = least < 0 ? least * SlowClockFactor : least / SlowClockFactor;
+  return passed >= lowest - EarlyClockMs && passed <= most * SlowClockFactor + LateClockMs;
+}
+
 std::optional<std::int64_t>
 WorkerSession::extendLease(base::Duration lease, base::Duration stopGrace, base::TimePoint now) {
   const std::optional<std::int64_t> clockNow = this->clockAt(now);
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -125,6 +125,10 @@
 
   void readClock(std::optional<std::int64_t> clockMs, base::TimePoint now);
 
+  /// Whether this incarnation can have read this from its clock between the two times. Each
+  /// incarnation's clock starts anew.
+  bool isOwnClock(std::int64_t clockMs, base::TimePoint sentAt, base::TimePoint now) const;
+
   /// Whether this incarnation answered last, so that it may get what holds for it alone: a lease on
   /// its clock, the number of its recorded ends, starts and stops.
   bool isConfirmed() const {
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -196,3 +196,17 @@
   const std::optional<StartOrder> start = next<StartOrder>(cell);
   CHECK(!start || start->run.run != planned->runs.front().run.run);
 }
+
+/// The answer to a start names no life, but its clock shows that another one gave it.
+TEST(RestartedWorker, IsNoticedByTheClockInItsAnswerToAStart) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 60000));
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 1}, "w"}}}});
+  const std::optional<StartOrder> start = next<StartOrder>(cell);
+  CHECK(start.has_value());
+  cell.dispatcher->onStartAnswer(start->id, {OrderOutcome::Accepted, 200}, cell.now);
+  const std::vector<Action> orders = cell.step(1);
+  const RenewLeaseOrder *question = cell.find<RenewLeaseOrder>(orders);
+  CHECK(question != nullptr);
+  CHECK(!question->leaseUntilMs.has_value());
+}
