Hold a run whose start may have reached an unseen incarnation

A worker restarts, carries out a start that was meant for its former incarnation and is cut off before anybody has spoken to it. Its run lasts for the longest lease (10 s) while the leader, which saw no restart, counts its own lease (5 s) and places the task again.

A start without an answer, or answered while the incarnation is in doubt, now marks its run; a later answer of the known incarnation to a renewal clears the mark. When a silent worker's lease has ended, its other runs are released at once, the marked ones after the longest lease that an order without an answer can have given, and the worker is removed with the last.

Not closed: a start that is carried out even later than its call's time limit, on an incarnation that nobody has spoken to. No order that the leader may send bars it.

--- a/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
+++ b/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
@@ -43,6 +43,7 @@
   NotListed, ///< The worker does not list it, after it answered a start or a stop of the run.
   /// The worker does not list it, and refuses orders of the time when it was placed.
   EarlierSession,
+  LeaseEnded,    ///< Its worker is silent, and its lease has ended.
   WorkerRemoved, ///< With all runs of its worker.
 };
 
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -28,6 +28,7 @@
   std::uint64_t session = 0;
   RunKey run;
   base::TimePoint sentAt = base::TimePoint::min();
+  bool givesLease = false;
 };
 
 /// Number of gang members that a worker is expected to have room for from `at` on.
@@ -118,7 +119,13 @@
   std::pair<const Worker *, WorkerSession *> find(const OrderSubject &subject);
   OrderId nextOrder() { return {this->options.term, ++this->lastOrder}; }
   /// Remembers what an order is about until its answer comes.
-  void expectAnswer(const OrderId &id, const WorkerSession &session, const RunKey &run);
+  void expectAnswer(const OrderId &id, const WorkerSession &session, const RunKey &run,
+                    bool givesLease);
+  /// Notes that an order may have reached an incarnation that was not seen yet.
+  void noteStray(WorkerSession &session, bool givesLease) const;
+  /// Gives up the runs of a silent worker whose lease has ended. \returns whether the worker is
+  /// given up with them.
+  bool giveUpRuns(const Worker &worker, WorkerSession &session);
   std::optional<OrderSubject> takeOrder(const OrderId &id);
   /// Handles what all answers to starts and stops have in common. Returns as `find`; nulls
   /// without a subject.
--- a/packages/jobs/src/WorkerDecision.cpp
+++ b/packages/jobs/src/WorkerDecision.cpp
@@ -23,8 +23,8 @@
 }
 
 std::string_view nameOf(ReleaseCause cause) {
-  static constexpr std::array<std::string_view, 5> Names = {"not_sent", "refused", "not_listed",
-                                                            "earlier_session", "worker_removed"};
+  static constexpr std::array<std::string_view, 6> Names = {
+      "not_sent", "refused", "not_listed", "earlier_session", "lease_ended", "worker_removed"};
   return Names.at(static_cast<std::size_t>(cause));
 }
 
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -82,8 +82,9 @@
 }
 
 void Dispatcher::State::expectAnswer(const OrderId &id, const WorkerSession &session,
-                                     const RunKey &run) {
-  this->orders.emplace(id, OrderSubject{session.incarnation.id, session.serial, run, this->now});
+                                     const RunKey &run, bool givesLease) {
+  this->orders.emplace(
+      id, OrderSubject{session.incarnation.id, session.serial, run, this->now, givesLease});
 }
 
 std::optional<OrderSubject> Dispatcher::State::takeOrder(const OrderId &id) {
@@ -138,7 +139,7 @@
         session.extendLease(this->options.lease, this->options.stopGrace, this->now);
     order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(RenewalWait).count();
   }
-  this->expectAnswer(order.id, session, {});
+  this->expectAnswer(order.id, session, {}, order.leaseUntilMs.has_value());
   session.renewalInFlight = true;
   if (session.isDoubted)
     session.question = order.id;
@@ -169,7 +170,7 @@
   session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.starts;
-  this->expectAnswer(order.id, session, run);
+  this->expectAnswer(order.id, session, run, true);
   this->actions.emplace_back(std::move(order));
 }
 
@@ -181,7 +182,7 @@
   session.recordCall(this->now);
   ++session.callsInFlight;
   ++this->counters.stops;
-  this->expectAnswer(order.id, session, run);
+  this->expectAnswer(order.id, session, run, false);
   this->actions.emplace_back(std::move(order));
 }
 
@@ -230,10 +231,8 @@
   if (session.removalProposedAt && this->now - *session.removalProposedAt < IdleSilence)
     return;
   const bool silent = session.renewalUnanswered || !session.hasAnswered;
-  if (silent && this->now >= session.leaseEndsBy) {
-    this->removeWorker(worker, session, RemovalCause::LeaseEnded);
+  if (silent && this->now >= session.leaseEndsBy && this->giveUpRuns(worker, session))
     return;
-  }
   if (silent && worker.placements.empty() && this->now - session.lastAnswer > IdleSilence) {
     this->removeWorker(worker, session, RemovalCause::IdleSilence);
     return;
@@ -244,6 +243,34 @@
     this->sendRenewLease(worker, session);
 }
 
+bool Dispatcher::State::giveUpRuns(const Worker &worker, WorkerSession &session) {
+  const auto statusOf = [&session](const TaskKey &task) {
+    const auto found = session.runs.find(task);
+    return found == session.runs.end() ? nullptr : &found->second;
+  };
+  const bool isOneDoubtful = std::any_of(worker.placements.begin(), worker.placements.end(),
+                                         [&statusOf](const auto &entry) {
+                                           const RunStatus *status = statusOf(entry.first);
+                                           return status != nullptr && status->doubtfulSince;
+                                         });
+  if (!isOneDoubtful || this->now >= session.successorLeaseEndsBy) {
+    this->removeWorker(worker, session, RemovalCause::LeaseEnded);
+    return true;
+  }
+  for (const auto &[task, placement] : worker.placements) {
+    RunStatus *status = statusOf(task);
+    if (status != nullptr && !status->doubtfulSince)
+      this->release(session, {task, placement.run}, *status, ReleaseCause::LeaseEnded);
+  }
+  return false;
+}
+
+void Dispatcher::State::noteStray(WorkerSession &session, bool givesLease) const {
+  if (givesLease)
+    session.successorLeaseEndsBy =
+        leaseEnd(this->now, this->options.maxLease, this->options.stopGrace);
+}
+
 void Dispatcher::State::advanceRuns(const Worker &worker, WorkerSession &session) {
   if (!session.hasAnswered)
     return;
@@ -332,6 +359,10 @@
     return;
   RunStatus &view = *found;
   view.startInFlight = false;
+  if (session->isDoubted || answer.outcome == OrderOutcome::NoAnswer) {
+    view.doubtfulSince = now;
+    dispatcher.noteStray(*session, subject->givesLease);
+  }
   switch (answer.outcome) {
   case OrderOutcome::Accepted:
     if (view.startsSent == 1)
@@ -410,6 +441,8 @@
     RunStatus &view = position->second;
     if (isNew)
       view.inherited = true;
+    if (view.doubtfulSince && sentAt >= *view.doubtfulSince)
+      view.doubtfulSince.reset();
     const RunKey run{task, placement.run};
     if (const auto found = running.find(run); found != running.end()) {
       const RunningTask &seen = *found->second;
@@ -486,6 +519,7 @@
   }
   if (answer.outcome != OrderOutcome::Accepted) {
     ++dispatcher.counters.renewalsUnanswered;
+    dispatcher.noteStray(*session, subject->givesLease);
     if (!session->renewalUnanswered)
       dispatcher.report(
           WorkerFellSilent{dispatcher.keyOf(*session), session->leaseEndsBy - dispatcher.now});
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -33,6 +33,8 @@
   bool stopInFlight = false;
   bool stopAnswered = false; ///< It cannot appear any more.
   bool releaseProposed = false;
+  /// Since then its start may have reached an incarnation that was not seen yet.
+  std::optional<base::TimePoint> doubtfulSince;
   base::TimePoint answeredAt =
       base::TimePoint::max(); ///< A later look that misses it proves absence.
   base::TimePoint nextTry = base::TimePoint::min();
@@ -101,7 +103,9 @@
   std::optional<base::TimePoint> removalProposedAt;
   base::TimePoint nextRenewal = base::TimePoint::min();
   base::TimePoint lastAnswer;
-  base::TimePoint leaseEndsBy; ///< From then on nothing runs there, on any clock.
+  base::TimePoint leaseEndsBy; ///< From then on this incarnation runs nothing, on any clock.
+  /// From then on no incarnation runs anything that has taken its place and was not seen yet.
+  base::TimePoint successorLeaseEndsBy = base::TimePoint::min();
   bool endsProposed = false;
   std::uint32_t callsInFlight = 0;
   /// The first order to start or stop since the last answer of any kind.
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -210,3 +210,38 @@
   CHECK(question != nullptr);
   CHECK(!question->leaseUntilMs.has_value());
 }
+
+/// The start may have reached an incarnation that nobody has spoken to, which runs it for the
+/// longest lease; a run that had answered before ended with the former one.
+TEST(RestartedWorker, SilentSinceAStartWithoutAnswerKeepsTheRunForTheLongestLease) {
+  for (const bool isAnswered : {true, false}) {
+    ManualCell cell;
+    const base::TimePoint begin = cell.now;
+    const auto clockMs = [&cell, begin] {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(cell.now - begin).count();
+    };
+    std::optional<OrderId> start;
+    const auto isHeldFor = [&](std::int64_t milliseconds, bool isSilent) {
+      for (std::int64_t passed = 0; passed < milliseconds; passed += 10) {
+        for (const Action &order : cell.step(10)) {
+          if (const auto *sent = std::get_if<StartOrder>(&order); sent != nullptr && !start)
+            start = sent->id;
+          if (const auto *hold = std::get_if<RenewLeaseOrder>(&order))
+            cell.dispatcher->onRenewLeaseAnswer(
+                hold->id, isSilent ? RenewLeaseAnswer() : answerOf(FormerStartMs, clockMs()),
+                cell.now);
+        }
+      }
+      const Worker *worker = cell.table.findWorker("w");
+      return worker != nullptr && worker->placements.count(OnlyTask) != 0;
+    };
+    isHeldFor(12000, false); // The bound of a new session passes.
+    CHECK(start.has_value());
+    const OrderAnswer answer = {OrderOutcome::Accepted, clockMs()};
+    cell.dispatcher->onStartAnswer(*start, isAnswered ? answer : OrderAnswer(), cell.now);
+    CHECK(isHeldFor(5000, true));
+    CHECK_EQUAL(!isAnswered, isHeldFor(1500, true));
+    CHECK_EQUAL(!isAnswered, isHeldFor(4000, true));
+    CHECK(!isHeldFor(1000, true));
+  }
+}
