Say the number of recorded ends to a worker once

Every renewal carried the number of the worker's recorded ends. One that left just before a restart was noticed could be carried out by the next incarnation, which then forgets as many of its own ends, unseen; no bound on leases and no token bars an order that comes before the first one of a new session.

The number is now sent until an answer to it has come, and then no more until it rises; a renewal without news carries none. What remains is the renewal that brings news at the very moment of the restart.

--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -29,6 +29,7 @@
   RunKey run;
   base::TimePoint sentAt = base::TimePoint::min();
   bool givesLease = false;
+  std::uint64_t recordedEnds = 0; ///< That the worker may forget.
 };
 
 /// Number of gang members that a worker is expected to have room for from `at` on.
@@ -121,6 +122,7 @@
   /// Remembers what an order is about until its answer comes.
   void expectAnswer(const OrderId &id, const WorkerSession &session, const RunKey &run,
                     bool givesLease);
+  void expectAnswer(const RenewLeaseOrder &order, const WorkerSession &session);
   /// Notes that an order may have reached an incarnation that was not seen yet.
   void noteStray(WorkerSession &session, bool givesLease) const;
   /// Gives up the runs of a silent worker whose lease has ended. \returns whether the worker is
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -84,7 +84,16 @@
 void Dispatcher::State::expectAnswer(const OrderId &id, const WorkerSession &session,
                                      const RunKey &run, bool givesLease) {
   this->orders.emplace(
-      id, OrderSubject{session.incarnation.id, session.serial, run, this->now, givesLease});
+      id, OrderSubject{session.incarnation.id, session.serial, run, this->now, givesLease, 0});
+}
+
+void Dispatcher::State::expectAnswer(const RenewLeaseOrder &order, const WorkerSession &session) {
+  this->orders.emplace(order.id, OrderSubject{session.incarnation.id,
+                                              session.serial,
+                                              {},
+                                              this->now,
+                                              order.leaseUntilMs.has_value(),
+                                              order.recordedEnds});
 }
 
 std::optional<OrderSubject> Dispatcher::State::takeOrder(const OrderId &id) {
@@ -134,12 +143,14 @@
   // Else it is only asked who it is. A lease would also delay the time from which nothing runs on a
   // silent worker.
   if (session.isConfirmed()) {
-    order.recordedEnds = worker.recordedEnds;
+    // Said once: a next incarnation that gets the order would forget as many of its own ends.
+    if (worker.recordedEnds > session.acknowledgedEnds)
+      order.recordedEnds = worker.recordedEnds;
     order.leaseUntilMs =
         session.extendLease(this->options.lease, this->options.stopGrace, this->now);
     order.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(RenewalWait).count();
   }
-  this->expectAnswer(order.id, session, {}, order.leaseUntilMs.has_value());
+  this->expectAnswer(order, session);
   session.renewalInFlight = true;
   if (session.isDoubted)
     session.question = order.id;
@@ -547,6 +558,7 @@
     session->isDoubted = false;
     session->clock.reset(); // What this answer says of it counts.
   }
+  session->acknowledgedEnds = std::max(session->acknowledgedEnds, subject->recordedEnds);
   session->recordAnswered(now);
   session->lastAnswer = now;
   session->readClock(answer.clockMs, now);
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -107,6 +107,7 @@
   /// From then on no incarnation runs anything that has taken its place and was not seen yet.
   base::TimePoint successorLeaseEndsBy = base::TimePoint::min();
   bool endsProposed = false;
+  std::uint64_t acknowledgedEnds = 0; ///< The worker has answered that it may forget these.
   std::uint32_t callsInFlight = 0;
   /// The first order to start or stop since the last answer of any kind.
   std::optional<base::TimePoint> unansweredSince;
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -245,3 +245,14 @@
     CHECK(!isHeldFor(1000, true));
   }
 }
+
+/// Each renewal carried the count, so that the one that met the next life made it forget its ends.
+TEST(RestartedWorker, GetsTheCountOfItsEndsOnce) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  cell.apply({RecordEnds{{"w", FormerStartMs}, {{5, {OnlyTask, 1}, EndKind::Stopped, ""}}}});
+  CHECK_EQUAL(5U, renew(cell, RenewLeaseAnswer()).recordedEnds);
+  CHECK_EQUAL(0U, renew(cell, answerOf(FormerStartMs, 2000)).recordedEnds);
+  CHECK_EQUAL(5U, renew(cell, answerOf(FormerStartMs, 2100)).recordedEnds);
+  CHECK_EQUAL(0U, renew(cell, answerOf(FormerStartMs, 2200)).recordedEnds);
+}
