Count and stop the next run of a task that succeeded late

Cause: the limit of tasks of a step on one worker was counted by the phase of the tasks. A task whose earlier run is listed late as a success is Succeeded while its next run still occupies a worker, so its place was given away. The next run was also left to work to its end.

The limit now counts placements, which last until the end of the run is recorded or it is released, and the dispatcher stops the last run of a task that has succeeded in an earlier one.

RestartedWorker.LateSuccessLeavesTheNextRunInItsPlaceUntilItIsStopped failed with the former count ("CHECK(!holds_alternative<StartOrder>(order))") and passes now.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -98,6 +98,25 @@
   session.slowness = this->speeds.slowness(session.incarnation.id);
 }
 
+void Dispatcher::State::stopObsoleteRun(const RunKey &succeeded) {
+  const Job *job = this->table.findJob(succeeded.task.job);
+  if (job == nullptr)
+    return;
+  const auto occurrence = job->occurrences.find(succeeded.task.occurrence);
+  if (occurrence == job->occurrences.end())
+    return;
+  const Task &task = occurrence->second.steps[succeeded.task.step].tasks[succeeded.task.index];
+  const auto session = this->sessions.find(task.worker);
+  if (task.phase != TaskPhase::Succeeded || task.lastRun == succeeded.run ||
+      session == this->sessions.end())
+    return;
+  const auto run = session->second.runs.find(succeeded.task);
+  if (run == session->second.runs.end())
+    return;
+  run->second.stopWanted = true;
+  this->dirtyWorkers.insert(task.worker);
+}
+
 void Dispatcher::State::openDueOccurrences() {
   for (const std::string &id : this->repeatingJobs) {
     const Job *job = this->table.findJob(id);
@@ -271,7 +290,9 @@
         const Worker *worker = dispatcher.table.findWorker(ends->worker.id);
         if (worker == nullptr || worker->placements.count(end.run.task) == 0)
           session->second.runs.erase(end.run.task);
-        if (end.kind != EndKind::Succeeded)
+        if (end.kind == EndKind::Succeeded)
+          dispatcher.stopObsoleteRun(end.run);
+        else
           dispatcher.examineGang(end.run.task);
       }
     } else if (const auto *released = std::get_if<ReleaseRuns>(&command)) {
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -83,6 +83,8 @@
   void refreshJob(const std::string &id);
   void markBegun(const std::string &job);
   void recordDuration(WorkerSession &session, const TaskEnd &end);
+  /// Stops the last run of a task that has succeeded in an earlier run.
+  void stopObsoleteRun(const RunKey &succeeded);
   void openDueOccurrences();
   void forgetEndedJobs();
 
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -152,9 +152,13 @@
   std::map<std::string, std::uint32_t> counts;
   if (open.step->maxPerWorker == 0)
     return counts;
-  for (const Task &task : open.progress->tasks) {
-    if (task.phase == TaskPhase::Placed)
-      ++counts[task.worker];
+  const std::vector<Task> &tasks = open.progress->tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    // A task that has succeeded may still have a run there.
+    const Worker *worker = this->table.findWorker(tasks[index].worker);
+    const TaskKey key{open.key.job, open.key.occurrence, open.key.step, index};
+    if (worker != nullptr && worker->placements.count(key) != 0)
+      ++counts[tasks[index].worker];
   }
   const auto proposed = this->pending.find(open.key);
   if (proposed == this->pending.end())
--- a/packages/jobs/tests/ManualCell.h
+++ b/packages/jobs/tests/ManualCell.h
@@ -1,4 +1,4 @@
-// A dispatcher with one worker and one job of one task. The test delivers each answer itself, so it
+// A dispatcher with one worker and one job of one step. The test delivers each answer itself, so it
 // decides what is answered, lost or late.
 #pragma once
 
@@ -10,7 +10,7 @@
 
 /// Not thread-safe.
 struct ManualCell {
-  ManualCell() {
+  explicit ManualCell(std::uint32_t tasks = 1, std::uint32_t maxPerWorker = 0) {
     Configuration configuration;
     configuration.version = 1;
     Queue queue;
@@ -25,7 +25,8 @@
     JobSpec spec;
     spec.id = "job";
     spec.steps.resize(1);
-    spec.steps[0].count = 1;
+    spec.steps[0].count = tasks;
+    spec.steps[0].maxPerWorker = maxPerWorker;
     spec.steps[0].demand = {1000, 100, 0};
     spec.steps[0].estimatedMs = 1000;
     this->table.apply({EpochMs, {PutConfiguration{configuration}, RegisterWorker{profile}}});
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -256,3 +256,27 @@
   CHECK_EQUAL(5U, renew(cell, answerOf(FormerStartMs, 2100)).recordedEnds);
   CHECK_EQUAL(0U, renew(cell, answerOf(FormerStartMs, 2200)).recordedEnds);
 }
+
+/// The next run of a task whose success was listed late was no longer counted on its worker, so too
+/// many tasks of the step ran there, and it was not stopped.
+TEST(RestartedWorker, LateSuccessLeavesTheNextRunInItsPlaceUntilItIsStopped) {
+  ManualCell cell(2, 1);
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 1}, "w"}}}});
+  cell.apply({ReleaseRuns{{{{OnlyTask, 1}, "w", ""}}}});
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 2}, "w"}}}});
+  renew(cell, answerOf(FormerStartMs, 1000));
+  const std::optional<StartOrder> start = next<StartOrder>(cell);
+  CHECK(start.has_value() && start->run.run == 2);
+  cell.dispatcher->onStartAnswer(start->id, {OrderOutcome::Accepted, 1010}, cell.now);
+  cell.apply({RecordEnds{{"w", FormerStartMs}, {{1, {OnlyTask, 1}, EndKind::Succeeded, ""}}}});
+  std::optional<StopOrder> stop;
+  for (int round = 0; round < 20; ++round) {
+    for (const Action &order : cell.step(10)) {
+      CHECK(!std::holds_alternative<StartOrder>(order));
+      if (const auto *sent = std::get_if<StopOrder>(&order))
+        stop = *sent;
+    }
+  }
+  CHECK(stop.has_value() && stop->run.task == OnlyTask && stop->run.run == 2);
+  CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.size());
+}
