Ask a silent worker on after its lease has ended

When the lease of a silent worker had ended, the worker was removed with its runs and not asked any more.

Only its runs are released now. The worker is asked on, without a lease, and is removed after 6 s without runs, as an idle one is. When it is back, its session, its token and its count of recorded ends go on.

--- a/packages/jobs/include/banyanrill/jobs/Model.h
+++ b/packages/jobs/include/banyanrill/jobs/Model.h
@@ -186,7 +186,8 @@
   std::uint32_t failures = 0;
   std::string worker;     ///< Of the last run.
   std::string checkpoint; ///< Empty: from the beginning.
-  /// Runs that were given up without a recorded end, which a worker may still list. The latest ones.
+  /// Runs that were given up without a recorded end, which a worker may still list. The latest
+  /// ones.
   std::vector<std::uint32_t> releasedRuns;
 
   bool operator==(const Task &) const = default;
--- a/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
+++ b/packages/jobs/include/banyanrill/jobs/WorkerDecision.h
@@ -28,7 +28,6 @@
 std::string_view nameOf(DoubtCause cause);
 
 enum class RemovalCause : std::uint8_t {
-  LeaseEnded,         ///< Nothing can run there any more.
   IdleSilence,        ///< It is silent and has no runs.
   OtherWorkerAnswers, ///< Another worker answers at its address.
   Left,               ///< It said that it leaves, and takes no connection any more.
@@ -93,7 +92,7 @@
 
 struct WorkerRemovalDecided {
   SessionKey session;
-  RemovalCause cause = RemovalCause::LeaseEnded;
+  RemovalCause cause = RemovalCause::IdleSilence;
   base::Duration silentFor{}; ///< Since its last answer to a renewal.
   base::Duration leaseLeft{}; ///< Negative: it has ended.
   std::size_t placements = 0;
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -127,9 +127,9 @@
   void expectAnswer(const RenewLeaseOrder &order, const WorkerSession &session);
   /// Notes that an order may have reached an incarnation that was not seen yet.
   void noteStray(WorkerSession &session, bool givesLease) const;
-  /// Gives up the runs of a silent worker whose lease has ended. \returns whether the worker is
-  /// given up with them.
-  bool giveUpRuns(const Worker &worker, WorkerSession &session);
+  /// Releases the runs of a silent worker that have certainly ended. Precondition: its lease has
+  /// ended.
+  void giveUpRuns(const Worker &worker, WorkerSession &session);
   std::optional<OrderSubject> takeOrder(const OrderId &id);
   /// Handles what all answers to starts and stops have in common. Returns as `find`; nulls
   /// without a subject.
--- a/packages/jobs/src/WorkerDecision.cpp
+++ b/packages/jobs/src/WorkerDecision.cpp
@@ -17,8 +17,8 @@
 }
 
 std::string_view nameOf(RemovalCause cause) {
-  static constexpr std::array<std::string_view, 4> Names = {"lease_ended", "idle_silence",
-                                                            "other_worker_answers", "left"};
+  static constexpr std::array<std::string_view, 3> Names = {"idle_silence", "other_worker_answers",
+                                                            "left"};
   return Names.at(static_cast<std::size_t>(cause));
 }
 
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -37,7 +37,8 @@
 /// Maximum number of ends in one answer; a full list may be incomplete.
 constexpr std::size_t FullEndList = 500;
 
-/// A worker without tasks that does not answer for this long is removed.
+/// A worker without runs that does not answer for this long is removed. Until then it is asked, so
+/// that it has work again soon after its return.
 constexpr base::Duration IdleSilence = std::chrono::seconds(6);
 
 /// Maximum number of conclusions kept for the log; further ones are not reported.
@@ -242,9 +243,10 @@
   if (session.removalProposedAt && this->now - *session.removalProposedAt < IdleSilence)
     return;
   const bool silent = session.renewalUnanswered || !session.hasAnswered;
-  if (silent && this->now >= session.leaseEndsBy && this->giveUpRuns(worker, session))
-    return;
-  if (silent && worker.placements.empty() && this->now - session.lastAnswer > IdleSilence) {
+  if (silent && this->now >= session.leaseEndsBy)
+    this->giveUpRuns(worker, session);
+  const base::TimePoint idleSince = std::max(session.lastAnswer, session.emptySince);
+  if (silent && worker.placements.empty() && this->now - idleSince > IdleSilence) {
     this->removeWorker(worker, session, RemovalCause::IdleSilence);
     return;
   }
@@ -254,26 +256,15 @@
     this->sendRenewLease(worker, session);
 }
 
-bool Dispatcher::State::giveUpRuns(const Worker &worker, WorkerSession &session) {
-  const auto statusOf = [&session](const TaskKey &task) {
-    const auto found = session.runs.find(task);
-    return found == session.runs.end() ? nullptr : &found->second;
-  };
-  const bool isOneDoubtful = std::any_of(worker.placements.begin(), worker.placements.end(),
-                                         [&statusOf](const auto &entry) {
-                                           const RunStatus *status = statusOf(entry.first);
-                                           return status != nullptr && status->doubtfulSince;
-                                         });
-  if (!isOneDoubtful || this->now >= session.successorLeaseEndsBy) {
-    this->removeWorker(worker, session, RemovalCause::LeaseEnded);
-    return true;
-  }
+void Dispatcher::State::giveUpRuns(const Worker &worker, WorkerSession &session) {
   for (const auto &[task, placement] : worker.placements) {
-    RunStatus *status = statusOf(task);
-    if (status != nullptr && !status->doubtfulSince)
-      this->release(session, {task, placement.run}, *status, ReleaseCause::LeaseEnded);
+    RunStatus &status = session.runs[task];
+    if (status.doubtfulSince && this->now < session.successorLeaseEndsBy)
+      continue;
+    this->release(session, {task, placement.run}, status, ReleaseCause::LeaseEnded);
   }
-  return false;
+  if (!worker.placements.empty())
+    session.emptySince = this->now;
 }
 
 void Dispatcher::State::noteStray(WorkerSession &session, bool givesLease) const {
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -103,6 +103,7 @@
   std::optional<base::TimePoint> removalProposedAt;
   base::TimePoint nextRenewal = base::TimePoint::min();
   base::TimePoint lastAnswer;
+  base::TimePoint emptySince = base::TimePoint::min(); ///< Its last runs were given up.
   base::TimePoint leaseEndsBy; ///< From then on this incarnation runs nothing, on any clock.
   /// From then on no incarnation runs anything that has taken its place and was not seen yet.
   base::TimePoint successorLeaseEndsBy = base::TimePoint::min();
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -280,3 +280,22 @@
   CHECK(stop.has_value() && stop->run.task == OnlyTask && stop->run.run == 2);
   CHECK_EQUAL(1U, cell.table.findWorker("w")->placements.size());
 }
+
+/// A worker that came back just after its lease had ended was not asked any more and had to wait
+/// for its own report, while what it had to list was started again elsewhere.
+TEST(RestartedWorker, SilentBeyondItsLeaseIsAskedOn) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 1}, "w"}}}});
+  const auto isPlaced = [&cell] {
+    return cell.table.findWorker("w")->placements.count(OnlyTask) != 0;
+  };
+  for (int round = 0; round < 2000 && isPlaced(); ++round)
+    renew(cell, RenewLeaseAnswer());
+  CHECK(!isPlaced());
+  RenewLeaseAnswer listed = answerOf(FormerStartMs, 15000);
+  listed.ended = {{1, {OnlyTask, 1}, EndKind::Succeeded, ""}};
+  renew(cell, listed);
+  cell.step(10);
+  CHECK(cell.table.findJob("job")->phase == JobPhase::Succeeded);
+}
