Start no run of a task whose success is being recorded

The leader now keeps the tasks whose success it has proposed to record, and sends no start for them until the record is committed. After it, the run is released unsent, or starts if the end did not count.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -277,6 +277,8 @@
   dispatcher.now = now;
   for (const Command &command : batch.commands) {
     if (const auto *ends = std::get_if<RecordEnds>(&command)) {
+      for (const TaskEnd &end : ends->ends)
+        dispatcher.proposedSuccesses.erase(end.run.task);
       const auto session = dispatcher.sessions.find(ends->worker.id);
       if (session == dispatcher.sessions.end() || session->second.incarnation != ends->worker)
         continue;
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -64,6 +64,7 @@
   std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
   std::map<StepKey, std::uint32_t> abandonedGangs; ///< Runs of gangs that did not start together.
+  std::set<TaskKey> proposedSuccesses;             ///< Tasks whose success is being recorded.
   std::uint64_t lastOrder = 0;
   std::uint64_t lastSession = 0;
   bool planNeeded = true;
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -327,6 +327,9 @@
     this->dirtyWorkers.insert(session.incarnation.id);
     return;
   }
+  // Its task may be about to end: an earlier run's success is listed, but not yet recorded.
+  if (this->proposedSuccesses.count(task) != 0)
+    return;
   this->sendStart(worker, session, run, view);
 }
 
@@ -562,6 +565,10 @@
   if (command.ends.empty())
     return;
   session->endsProposed = true;
+  for (const TaskEnd &end : command.ends) {
+    if (end.kind == EndKind::Succeeded)
+      dispatcher.proposedSuccesses.insert(end.run.task);
+  }
   dispatcher.actions.emplace_back(Command(std::move(command)));
 }
 
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -299,3 +299,40 @@
   cell.step(10);
   CHECK(cell.table.findJob("job")->phase == JobPhase::Succeeded);
 }
+
+/// A success that was listed late was being recorded while the next run of the task left.
+TEST(RestartedWorker, StartsNoRunOfATaskWhoseSuccessIsBeingRecorded) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  const RunKey next{OnlyTask, 2};
+  RenewLeaseAnswer answer = answerOf(FormerStartMs, 1020);
+  answer.ended = {{1, {OnlyTask, 1}, EndKind::Succeeded, ""}};
+  std::vector<Command> uncommitted;
+  const auto countStarts = [&cell, &uncommitted, &answer] {
+    std::size_t starts = 0;
+    for (int round = 0; round < 30; ++round) {
+      cell.now += std::chrono::milliseconds(10);
+      for (const Action &action : cell.dispatcher->takeActions(cell.now, EpochMs)) {
+        if (const auto *command = std::get_if<Command>(&action))
+          uncommitted.push_back(*command);
+        else if (const auto *hold = std::get_if<RenewLeaseOrder>(&action))
+          cell.dispatcher->onRenewLeaseAnswer(hold->id, answer, cell.now);
+        starts += std::holds_alternative<StartOrder>(action) ? 1 : 0;
+      }
+    }
+    return starts;
+  };
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 1}, "w"}}}});
+  cell.apply({ReleaseRuns{{{{OnlyTask, 1}, "w", ""}}}});
+  countStarts(); // The worker lists the end.
+  cell.apply({PlaceRuns{5, {{next, "w"}}}});
+  const std::size_t startsBeforeCommit = countStarts();
+  CHECK_EQUAL(0U, startsBeforeCommit);
+  for (const Command &command : uncommitted) {
+    if (std::holds_alternative<RecordEnds>(command))
+      cell.apply({command});
+  }
+  CHECK(cell.table.findJob("job")->phase == JobPhase::Succeeded);
+  const std::size_t startsAfterCommit = countStarts();
+  CHECK_EQUAL(0U, startsAfterCommit);
+}
