Restart and cut off the soak's workers, and carry out orders late

The soak could not show it: its stand-in workers never restarted, every order was answered or lost, and every task took 150 ms.

The workers now restart under their identifiers, with a clock that starts at a random time, and are cut off for 6 to 10 s within 1.5 s; one order in 25 gets no answer and is carried out 2 to 12 s later; besides the short jobs there are some whose tasks take 6 to 8 s. A restart resets the connections of the worker, as the end of a process does. All draws are their own, so the other faults of a seed stay the same.

--- a/packages/jobs/tests/FakeWorker.cpp
+++ b/packages/jobs/tests/FakeWorker.cpp
@@ -120,11 +120,12 @@
   }
 }
 
-void FakeWorker::restart(const std::string &id, std::int64_t nowMs) {
+void FakeWorker::restart(const std::string &id, std::int64_t nowMs, std::int64_t newClockStartMs) {
   this->kill();
   this->alive = true;
   this->profile.incarnation = {id, nowMs + 1000000};
   this->startedAtMs = nowMs;
+  this->clockStartMs = newClockStartMs;
   this->fence = 0;
   this->leaseUntilMs = 0;
   this->lastEnd = 0;
--- a/packages/jobs/tests/FakeWorker.h
+++ b/packages/jobs/tests/FakeWorker.h
@@ -33,14 +33,18 @@
   /// Ends finished runs, and all runs if the lease has expired.
   void advance(std::int64_t nowMs);
 
-  /// Discards all state and starts a new incarnation.
-  void restart(const std::string &id, std::int64_t nowMs);
+  /// Discards all state and starts a new incarnation, whose clock reads `newClockStartMs`.
+  void restart(const std::string &id, std::int64_t nowMs, std::int64_t newClockStartMs = 0);
   void kill();
 
+  /// The ends that no accepted renewal has acknowledged yet.
+  const std::vector<TaskEnd> &unacknowledgedEnds() const { return this->ends; }
+
   std::size_t runningCount() const { return this->running.size(); }
 
   std::int64_t clockMs(std::int64_t nowMs) const {
-    return static_cast<std::int64_t>(static_cast<double>(nowMs - this->startedAtMs) * this->rate);
+    return this->clockStartMs +
+           static_cast<std::int64_t>(static_cast<double>(nowMs - this->startedAtMs) * this->rate);
   }
 
   WorkerProfile profile;
@@ -61,6 +65,7 @@
   double rate;
   RunObserver observer;
   std::int64_t startedAtMs = 0;
+  std::int64_t clockStartMs = 0; ///< What the worker's clock read then.
   std::uint64_t fence = 0;
   std::int64_t leaseUntilMs = 0; ///< On the worker's clock.
   std::uint64_t lastEnd = 0;
--- a/tests/soak/Proxy.cpp
+++ b/tests/soak/Proxy.cpp
@@ -133,10 +133,11 @@
     }
     const bool isNew = current != last;
     last = current;
+    const bool isReset = this->isBreaking.exchange(false) || (isNew && current == LinkFault::Reset);
     for (Connection &connection : connections) {
       connection.isSilent = connection.isSilent || (isNew && current == LinkFault::Silent);
-      connection.isBroken = isNew && current == LinkFault::Reset;
-      if (connection.isSilent)
+      connection.isBroken = isReset;
+      if (connection.isSilent || connection.isBroken)
         continue;
       const bool isDelayed = current == LinkFault::Delayed;
       bool isOpen = receive(connection.request, isDelayed) && receive(connection.answer, isDelayed);
@@ -150,9 +151,9 @@
       else
         connection.isBroken = connection.isBroken || !isOpen;
     }
-    connections.remove_if([current](const Connection &connection) {
+    connections.remove_if([&](const Connection &connection) {
       if (connection.isBroken)
-        closeBoth(connection, current == LinkFault::Reset);
+        closeBoth(connection, isReset || current == LinkFault::Reset);
       return connection.isBroken;
     });
   }
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -31,6 +31,8 @@
 
   std::uint16_t port() const { return this->listenPort; }
   void setFault(LinkFault next) { this->fault = next; }
+  /// Resets the connections that are open now, with all that they hold back.
+  void breakConnections() { this->isBreaking = true; }
   bool isHarmed() const { return this->fault.load() != LinkFault::None; }
 
 private:
@@ -41,6 +43,7 @@
   int listener = -1;
   std::uint16_t listenPort = 0;
   std::atomic<LinkFault> fault = LinkFault::None;
+  std::atomic<bool> isBreaking = false;
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,12 +1,15 @@
 // soak SEED SECONDS PROGRAM [grown|deployed]: runs real daemons as processes of their own, injects
 // faults from outside and checks the promises that callers and workers see: what was accepted is
-// known and ends, no task runs twice, and the configuration is never older than one that was
-// acknowledged. At the end as many disks are lost as the cell tolerates, and all other machines
-// lose power; then every daemon has to answer within the recovery time. Exit code 1: a promise was
-// broken; the folder with the logs is kept and named.
+// known and ends, no task runs twice or again after an acknowledged success, and the configuration
+// is never older than one that was acknowledged. The workers are stand-ins. They restart under
+// their identifiers and are cut off soon after, carry out some orders seconds late without an
+// answer, and run some tasks for longer than a lease. At the end as many disks are lost as the cell
+// tolerates, and all other machines lose power; then every daemon has to answer within the recovery
+// time. Exit code 1: a promise was broken; the folder with the logs is kept and named.
 #include "FakePlatform.h"
 #include "Machines.h"
 #include "Proxy.h"
+#include "WorkerFaults.h"
 #include "banyanrill/base/RandomSource.h"
 
 #include <algorithm>
@@ -88,6 +91,19 @@
 /// Pause between two attempts to reach a daemon after the last fault.
 constexpr milliseconds ProbePause(100);
 
+/// The faults of the workers and the lengths of the tasks have draws of their own.
+constexpr std::uint64_t WorkerSeedOffset = 4000000;
+constexpr std::uint64_t TaskSeedOffset = 5000000;
+
+/// Besides the short jobs there are some whose tasks last for longer than the leader's lease.
+constexpr std::uint64_t ShortTaskMs = 150;
+constexpr std::uint64_t MinLongTaskMs = 6000;
+constexpr std::uint64_t MaxLongTaskMs = 8000;
+
+/// Pause between two such jobs, so that the workers have room for all. The first come at once.
+constexpr milliseconds LongJobPause(1200);
+constexpr int FirstLongJobs = 4;
+
 struct AcceptedJob {
   Clock::time_point at;
   bool isDone = false;
@@ -97,8 +113,10 @@
 public:
   Soak(std::uint64_t seed, const std::string &program, CellSize cellSize)
       : size(cellSize), random(seed), diskRandom(seed + DiskSeedOffset),
-        lastFaultRandom(seed + LastFaultSeedOffset),
+        lastFaultRandom(seed + LastFaultSeedOffset), taskRandom(seed + TaskSeedOffset),
         isLogLarge(base::RandomSource(seed + LargeLogSeedOffset).below(2) == 0),
+        workers(linkWorkers(this->users)),
+        workerFaults(seed + WorkerSeedOffset, this->users, this->workers),
         resumeAt(cellSize.machines), diskHealsAt(cellSize.disks) {
     std::string name = "/tmp/banyanrill-soak-" + std::to_string(seed) + "-XXXXXX";
     this->folder = mkdtemp(name.data());
@@ -114,12 +132,6 @@
       this->peers.push_back(
           std::make_unique<soak::Proxy>(machine.peerIp(), ports.peer, machine.ip(), ports.peer));
     }
-    for (std::size_t index = 0; index < Workers; ++index) {
-      this->workers.push_back(std::make_unique<soak::Proxy>("127.0.0.1", 0, "127.0.0.1",
-                                                            this->users.workerPort(index)));
-      this->users.setReportedAddress(index,
-                                     "127.0.0.1:" + std::to_string(this->workers.back()->port()));
-    }
     this->control = ports.control;
     for (std::size_t index = 0; index < SeedCount; ++index)
       this->seeds.push_back(this->machines[index]->seedAddress());
@@ -131,11 +143,16 @@
   int run(seconds duration) {
     if (!this->eventually([this] { return this->configure(); }, seconds(15)))
       this->fail("no configuration was acknowledged within 15 s of the start");
+    for (int job = 0; job < FirstLongJobs; ++job) {
+      this->nextLongJob = Clock::now();
+      this->submitLongJob();
+    }
     const auto end = Clock::now() + duration;
     while (Clock::now() < end && this->broken.empty()) {
       this->step();
       this->harm();
       this->harmDisks();
+      this->workerFaults.harm();
       std::this_thread::sleep_for(milliseconds(20));
     }
     this->heal();
@@ -152,7 +169,8 @@
     for (std::size_t index = 0; index < this->size.machines; ++index)
       this->noteOwnEnd(index);
     std::printf("%zu jobs accepted, %zu faults, configuration %d, %zu starts\n", this->jobs.size(),
-                this->faults, this->acknowledged, this->users.starts());
+                this->faults + this->workerFaults.count(), this->acknowledged,
+                this->users.starts());
     for (const std::string &fault : this->broken)
       std::printf("broken: %s\n", fault.c_str());
     if (this->broken.empty())
@@ -165,6 +183,17 @@
 private:
   void fail(const std::string &text) { this->broken.push_back(text); }
 
+  static std::vector<std::unique_ptr<soak::Proxy>>
+  linkWorkers(platform::test::FakePlatform &users) {
+    std::vector<std::unique_ptr<soak::Proxy>> links;
+    for (std::size_t index = 0; index < Workers; ++index) {
+      links.push_back(
+          std::make_unique<soak::Proxy>("127.0.0.1", 0, "127.0.0.1", users.workerPort(index)));
+      users.setReportedAddress(index, "127.0.0.1:" + std::to_string(links.back()->port()));
+    }
+    return links;
+  }
+
   template <typename Condition> bool eventually(Condition condition, seconds limit) {
     const auto end = Clock::now() + limit;
     while (Clock::now() < end) {
@@ -218,6 +247,7 @@
     this->reportWorkers();
     this->watch();
     this->submit();
+    this->submitLongJob();
     this->ask();
     if (this->random.below(15) == 0)
       this->configure();
@@ -231,14 +261,30 @@
   }
 
   void submit() {
+    const std::uint64_t count = 1 + this->random.below(4);
+    this->submitTo(this->random.below(this->size.machines), count, ShortTaskMs);
+  }
+
+  void submitLongJob() {
+    if (Clock::now() < this->nextLongJob)
+      return;
+    this->nextLongJob = Clock::now() + LongJobPause;
+    const std::size_t index = this->taskRandom.below(this->size.machines);
+    const std::uint64_t count = 1 + this->taskRandom.below(4);
+    const std::uint64_t range = MaxLongTaskMs - MinLongTaskMs;
+    this->submitTo(index, count, MinLongTaskMs + this->taskRandom.below(range));
+  }
+
+  /// Each task takes `taskMs`; the stand-in reads it from the specification.
+  void submitTo(std::size_t index, std::uint64_t count, std::uint64_t taskMs) {
     std::array<char, 17> id = {};
     std::snprintf(id.data(), id.size(), "%016zx", ++this->lastJob);
-    const json body = {{"TaskSpec", "t"},
+    const json body = {{"TaskSpec", std::to_string(taskMs)},
                        {"Steps",
-                        {{{"Count", 1 + this->random.below(4)}, {"Cpu", 500}, {"EstimatedMs", 150}},
-                         {{"Count", 1}, {"Cpu", 500}, {"EstimatedMs", 150}, {"After", {0}}}}}};
-    const http::CallResult result =
-        this->callFront("POST", "/q/" + std::string(id.data()), body.dump());
+                        {{{"Count", count}, {"Cpu", 500}, {"EstimatedMs", taskMs}},
+                         {{"Count", 1}, {"Cpu", 500}, {"EstimatedMs", taskMs}, {"After", {0}}}}}};
+    const http::CallResult result = call(*this->client, "127.0.0.1", this->fronts[index]->port(),
+                                         "POST", "/q/" + std::string(id.data()), body.dump());
     if (result.verdict == base::Verdict::Ran && result.response.status == 200)
       this->jobs[id.data()] = {Clock::now(), false};
   }
@@ -323,6 +369,7 @@
 
   /// Starts processes that have ended, as the platform does.
   void watch() {
+    this->workerFaults.advance();
     const auto now = Clock::now();
     for (std::size_t index = 0; index < this->size.machines; ++index) {
       soak::Machine &machine = *this->machines[index];
@@ -450,6 +497,7 @@
       for (const auto &link : *links)
         link->setFault(soak::LinkFault::None);
     }
+    this->workerFaults.stopHarm();
     this->resumeAt.assign(this->size.machines, {});
     this->watch();
   }
@@ -588,6 +636,7 @@
   base::RandomSource random;
   base::RandomSource diskRandom;
   base::RandomSource lastFaultRandom;
+  base::RandomSource taskRandom;
   const bool isLogLarge; ///< Before the last fault.
   std::filesystem::path folder;
   platform::test::FakePlatform users{Workers};
@@ -595,6 +644,7 @@
   std::vector<std::unique_ptr<soak::Proxy>> fronts;
   std::vector<std::unique_ptr<soak::Proxy>> peers;
   std::vector<std::unique_ptr<soak::Proxy>> workers;
+  soak::WorkerFaults workerFaults;
   std::vector<std::string> seeds;
   std::uint16_t control = 0;
   std::unique_ptr<http::Client> client;
@@ -603,6 +653,7 @@
   std::vector<Clock::time_point> diskHealsAt;
   Clock::time_point nextDiskFault = Clock::now() + seconds(2);
   Clock::time_point nextFault = Clock::now() + seconds(2);
+  Clock::time_point nextLongJob = Clock::now();
   std::set<std::size_t> reported;
   std::vector<std::string> broken;
   std::size_t faults = 0;
