Name the doubt about an incarnation after what it is

A reader stopped at question, doubtfulSince and noteStray, which are words of our own, and at a function that did nothing when a flag was false. They are identityProbe, startUncertainSince and extendSuccessorLease now, the last called only where an order gave a lease; preconditions are stated.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -209,7 +209,7 @@
   this->report(WorkerDoubted{this->keyOf(session), cause, other.startTimeMs});
   session.nextDoubt = this->now + DoubtInterval;
   session.isDoubted = true;
-  session.question.reset();
+  session.identityProbe.reset();
   session.nextRenewal = this->now;
   this->dirtyWorkers.insert(id);
 }
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -116,7 +116,8 @@
   /// Keeps a conclusion for the log.
   void report(WorkerDecision decision);
   SessionKey keyOf(const WorkerSession &session) const;
-  /// Bars every order of an earlier session from the worker's first answer on.
+  /// Bars every order of an earlier session from the worker's first answer on. Precondition: the
+  /// session's number fits into the lower half.
   std::uint64_t fencingTokenOf(const WorkerSession &session) const;
   OrderTarget targetOf(const Worker &worker, const WorkerSession &session) const;
   /// Returns worker and session if the order's session still lives, else nulls.
@@ -126,8 +127,8 @@
   void expectAnswer(const OrderId &id, const WorkerSession &session, const RunKey &run,
                     bool givesLease);
   void expectAnswer(const RenewLeaseOrder &order, const WorkerSession &session);
-  /// Notes that an order may have reached an incarnation that was not seen yet.
-  void noteStray(WorkerSession &session, bool givesLease) const;
+  /// An order with a lease may have reached an incarnation that was not seen yet.
+  void extendSuccessorLease(WorkerSession &session) const;
   /// Releases the runs of a silent worker that have certainly ended. Precondition: its lease has
   /// ended.
   void giveUpRuns(const Worker &worker, WorkerSession &session);
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -154,7 +154,7 @@
   this->expectAnswer(order, session);
   session.renewalInFlight = true;
   if (session.isDoubted)
-    session.question = order.id;
+    session.identityProbe = order.id;
   ++this->counters.renewals;
   this->actions.emplace_back(std::move(order));
 }
@@ -251,7 +251,8 @@
     return;
   }
   this->advanceRuns(worker, session);
-  const bool mayAsk = session.isDoubted ? !session.question.has_value() : !session.renewalInFlight;
+  const bool mayAsk =
+      session.isDoubted ? !session.identityProbe.has_value() : !session.renewalInFlight;
   if (mayAsk && !session.endsProposed && this->now >= session.nextRenewal)
     this->sendRenewLease(worker, session);
 }
@@ -259,7 +260,7 @@
 void Dispatcher::State::giveUpRuns(const Worker &worker, WorkerSession &session) {
   for (const auto &[task, placement] : worker.placements) {
     RunStatus &status = session.runs[task];
-    if (status.doubtfulSince && this->now < session.successorLeaseEndsBy)
+    if (status.startUncertainSince && this->now < session.successorLeaseEndsBy)
       continue;
     this->release(session, {task, placement.run}, status, ReleaseCause::LeaseEnded);
   }
@@ -267,10 +268,9 @@
     session.emptySince = this->now;
 }
 
-void Dispatcher::State::noteStray(WorkerSession &session, bool givesLease) const {
-  if (givesLease)
-    session.successorLeaseEndsBy =
-        leaseEnd(this->now, this->options.maxLease, this->options.stopGrace);
+void Dispatcher::State::extendSuccessorLease(WorkerSession &session) const {
+  session.successorLeaseEndsBy =
+      leaseEnd(this->now, this->options.maxLease, this->options.stopGrace);
 }
 
 void Dispatcher::State::advanceRuns(const Worker &worker, WorkerSession &session) {
@@ -365,8 +365,8 @@
   RunStatus &view = *found;
   view.startInFlight = false;
   if (session->isDoubted || answer.outcome == OrderOutcome::NoAnswer) {
-    view.doubtfulSince = now;
-    dispatcher.noteStray(*session, subject->givesLease);
+    view.startUncertainSince = now;
+    dispatcher.extendSuccessorLease(*session);
   }
   switch (answer.outcome) {
   case OrderOutcome::Accepted:
@@ -446,8 +446,8 @@
     RunStatus &view = position->second;
     if (isNew)
       view.inherited = true;
-    if (view.doubtfulSince && sentAt >= *view.doubtfulSince)
-      view.doubtfulSince.reset();
+    if (view.startUncertainSince && sentAt >= *view.startUncertainSince)
+      view.startUncertainSince.reset();
     const RunKey run{task, placement.run};
     if (const auto found = running.find(run); found != running.end()) {
       const RunningTask &seen = *found->second;
@@ -510,9 +510,9 @@
   if (session == nullptr)
     return;
   session->renewalInFlight = false;
-  const bool isQuestion = session->question == order;
-  if (isQuestion)
-    session->question.reset();
+  const bool isProbe = session->identityProbe == order;
+  if (isProbe)
+    session->identityProbe.reset();
   dispatcher.dirtyWorkers.insert(session->incarnation.id);
   if (answer.outcome == OrderOutcome::OtherIncarnation ||
       (session->leaving && answer.outcome == OrderOutcome::NotSent)) {
@@ -524,7 +524,8 @@
   }
   if (answer.outcome != OrderOutcome::Accepted) {
     ++dispatcher.counters.renewalsUnanswered;
-    dispatcher.noteStray(*session, subject->givesLease);
+    if (subject->givesLease)
+      dispatcher.extendSuccessorLease(*session);
     if (!session->renewalUnanswered)
       dispatcher.report(
           WorkerFellSilent{dispatcher.keyOf(*session), session->leaseEndsBy - dispatcher.now});
@@ -548,7 +549,7 @@
   session->nextRenewal = session->renewalUnanswered ? now : now + RenewalPause;
   session->renewalUnanswered = false;
   session->hasAnswered = true;
-  if (isQuestion) {
+  if (isProbe) {
     session->isDoubted = false;
     session->clock.reset(); // What this answer says of it counts.
   }
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -34,7 +34,7 @@
   bool stopAnswered = false; ///< It cannot appear any more.
   bool releaseProposed = false;
   /// Since then its start may have reached an incarnation that was not seen yet.
-  std::optional<base::TimePoint> doubtfulSince;
+  std::optional<base::TimePoint> startUncertainSince;
   base::TimePoint answeredAt =
       base::TimePoint::max(); ///< A later look that misses it proves absence.
   base::TimePoint nextTry = base::TimePoint::min();
@@ -97,7 +97,7 @@
   /// Another incarnation may have taken its place: it is asked at once, beside a renewal that
   /// waits.
   bool isDoubted = false;
-  std::optional<OrderId> question; ///< The renewal whose answer settles the doubt.
+  std::optional<OrderId> identityProbe; ///< The renewal whose answer settles the doubt.
   base::TimePoint nextDoubt = base::TimePoint::min(); ///< Earlier doubts are not followed.
   std::optional<WorkerProfile> claimed; ///< The last report of another life under this id.
   std::optional<base::TimePoint> removalProposedAt;
@@ -132,7 +132,7 @@
   void readClock(std::optional<std::int64_t> clockMs, base::TimePoint now);
 
   /// Whether this incarnation can have read this from its clock between the two times. Each
-  /// incarnation's clock starts anew.
+  /// incarnation's clock starts anew. Precondition: sentAt is not after now.
   bool isOwnClock(std::int64_t clockMs, base::TimePoint sentAt, base::TimePoint now) const;
 
   /// Whether this incarnation answered last, so that it may get what holds for it alone: a lease on
--- a/packages/node/src/WorkerLog.h
+++ b/packages/node/src/WorkerLog.h
@@ -11,6 +11,7 @@
 /// fits the order's.
 void logOrder(const jobs::WorkerOrder &order, const jobs::WorkerAnswer &answer);
 
+/// One line for each conclusion.
 void logDecision(const jobs::WorkerDecision &decision);
 
 } // namespace banyanrill::node
