Add a Promela model of fencing tokens on a restarting worker

The tests of the fixes cover chosen sequences; the model searches all of them within its bounds: a worker that restarts, orders of any delay, lost orders and answers, changes of leader, removals and registrations.

The model is not the code in one point. A session marks the runs of the session before it until a renewal that was sent a call's limit after its beginning is answered; the dispatcher marks only starts of its own session. Without it (FORMER_NOT_MARKED) spin finds two runs at once: a start of the former session is under way, the known incarnation answers the new session with the run in its list, the worker restarts, carries out the start and is cut off; the run lasts for the longest lease from then on, and the leader counts from the answer.

A question with a lease on the former clock is found only if its loss is not counted as a lease of an unseen incarnation.

--- a/tools/check_model.sh
+++ b/tools/check_model.sh
@@ -9,6 +9,8 @@
   consensus:TWO_VOTES consensus:VOTE_NOT_SYNCED consensus:ACK_NOT_SYNCED consensus:NO_LOG_CHECK
   consensus:COMMIT_OLD_TERM consensus:TWO_MEMBERS
   lease:COUNT_FROM_RECEIPT lease:NO_WORKER_WAIT lease:DISPATCH_AFTER_RELEASE lease:NO_MARGIN
+  incarnation:OWN_LEASE_ONLY incarnation:SAME_TOKEN incarnation:LEASE_IN_DOUBT incarnation:TOKEN_FALLS
+  incarnation:CLOCK_NOT_COMPARED incarnation:START_NOT_MARKED incarnation:FORMER_NOT_MARKED
 )
 memory_mb=2048
 time_limit_s=100 # The longest run takes 34 s on an idle machine.
@@ -65,6 +67,10 @@
   report "consensus, 4 terms, log of 2" ok "$(verify consensus -DMAX_TERM=4 -DMAX_LOG=2)"
   report "consensus, 3 terms, log of 3" ok "$(verify consensus -DMAX_TERM=3 -DMAX_LOG=3)"
   report lease ok "$(verify lease)"
+  report "incarnation, 3 incarnations, 4 sessions, 2 orders" ok \
+    "$(verify incarnation -DMAX_INCARNATION=3 -DMAX_SESSION=4 -DORDERS=2)"
+  report "incarnation, 2 incarnations, 2 sessions, 3 orders" ok \
+    "$(verify incarnation -DMAX_INCARNATION=2 -DMAX_SESSION=2 -DORDERS=3)"
   for pair in "${faults[@]}"; do
     check_fault "${pair%%:*}" "${pair#*:}"
   done
