Count the starts of earlier sessions as uncertain

Found by the model of the fencing tokens (fault FORMER_NOT_MARKED), not seen by callers: a start of an earlier session is under way when a new leader's session, or the one after a restart, begins. The worker answers once, restarts again, carries the start out and is cut off. The bound of the new session counts from its first answer, and only starts of the same session were held for the longest lease, so the task was placed again while the run had some of its lease left.

Each run that a new session finds placed is now uncertain until the worker has answered a renewal that was sent when the former leader can send no more (2 s), and the bound for uncertain runs only rises.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -185,6 +185,13 @@
     constexpr base::Duration FormerLeaderTime = std::chrono::seconds(2);
     session.leaseEndsBy =
         leaseEnd(this->now + FormerLeaderTime, this->options.maxLease, this->options.stopGrace);
+    session.successorLeaseEndsBy = session.leaseEndsBy;
+    // Orders of earlier sessions may be under way, and none of their answers counts in this one.
+    for (const auto &[task, placement] : worker->placements) {
+      RunStatus &status = session.runs[task];
+      status.inherited = true;
+      status.startUncertainSince = this->now + FormerLeaderTime;
+    }
     this->report(SessionBegan{this->keyOf(session), cause, session.leaseEndsBy - this->now,
                               worker->placements.size()});
   }
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -270,7 +270,8 @@
 
 void Dispatcher::State::extendSuccessorLease(WorkerSession &session) const {
   session.successorLeaseEndsBy =
-      leaseEnd(this->now, this->options.maxLease, this->options.stopGrace);
+      std::max(session.successorLeaseEndsBy,
+               leaseEnd(this->now, this->options.maxLease, this->options.stopGrace));
 }
 
 void Dispatcher::State::advanceRuns(const Worker &worker, WorkerSession &session) {
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -336,3 +336,21 @@
   const std::size_t startsAfterCommit = countStarts();
   CHECK_EQUAL(0U, startsAfterCommit);
 }
+
+/// A start of an earlier session was under way when the worker restarted again; the bound of the
+/// new session did not count it.
+TEST(RestartedWorker, SilentAfterOneAnswerKeepsARunOfAnEarlierSession) {
+  ManualCell cell;
+  renew(cell, answerOf(FormerStartMs, 1000));
+  cell.apply({PlaceRuns{5, {{{OnlyTask, 1}, "w"}}}});
+  CHECK(next<StartOrder>(cell).has_value());
+  cell.lead(6);
+  const base::TimePoint begin = cell.now;
+  RenewLeaseAnswer listed = answerOf(FormerStartMs, 1500);
+  listed.running = {{{OnlyTask, 1}, "", 10, 0}};
+  renew(cell, listed);
+  while (cell.table.findWorker("w")->placements.count(OnlyTask) != 0)
+    renew(cell, RenewLeaseAnswer());
+  // The former leader may have sent it for 2 s, and the longest lease follows.
+  CHECK(cell.now - begin >= std::chrono::seconds(12));
+}
