Carry late orders out on the next incarnation in the simulated fleet

The dispatcher's tests could not show it: the simulated fleet dropped a late order if its worker had restarted, and each new incarnation's clock began at 0.

A late order is now carried out by whatever incarnation with the identifier is alive then, and a new clock starts at a random value below or above the former one's. A late start is dropped and counted if no order could have barred it: no order that was meant for this incarnation has reached it, and its link is cut, or the run is released and the worker was reachable for at most 3 s. The fence alone does not tell: late renewals of the former incarnation raise it to a token that bars nothing.

A start more than 1 s after an acknowledged success is a violation, unless the lease had expired between the end and its acknowledgement. A second property restarts workers under their identifiers, cuts them off 0 to 2 s later for 1 to 15 s, and has tasks that last longer than a lease.

--- a/packages/jobs/tests/FakeWorker.h
+++ b/packages/jobs/tests/FakeWorker.h
@@ -16,6 +16,8 @@
 struct RunObserver {
   std::function<void(const std::string &worker, const RunKey &run)> started;
   std::function<void(const std::string &worker, const RunKey &run, EndKind how)> ended;
+  /// A leader has recorded a success, and the lease did not expire before it said so.
+  std::function<void(const RunKey &run)> successAcknowledged;
   /// Returns the duration of a run in ms and whether it fails.
   std::function<std::pair<std::int64_t, bool>(const std::string &worker, const RunKey &run)> work;
 };
@@ -42,6 +44,9 @@
 
   std::size_t runningCount() const { return this->running.size(); }
 
+  /// When this incarnation started.
+  std::int64_t startMs() const { return this->startedAtMs; }
+
   std::int64_t clockMs(std::int64_t nowMs) const {
     return this->clockStartMs +
            static_cast<std::int64_t>(static_cast<double>(nowMs - this->startedAtMs) * this->rate);
@@ -51,6 +56,8 @@
   /// Numbers of the ends that were still unacknowledged when the lease expired.
   std::set<std::uint64_t> endsPendingAtLeaseExpiry;
   bool alive = true;
+  /// This incarnation has received an order that was meant for it, not for a former one.
+  bool hasMetLeader = false;
 
 private:
   struct Running {
@@ -60,6 +67,7 @@
   };
 
   bool acceptsFence(std::uint64_t fence);
+  void forgetEnds(std::uint64_t recordedEnds);
   void end(TaskKey task, EndKind how); ///< By value: the task's entry is erased.
 
   double rate;
