--- a/packages/jobs/tests/FakeWorker.h
+++ b/packages/jobs/tests/FakeWorker.h
@@ -39,9 +39,6 @@
   void restart(const std::string &id, std::int64_t nowMs, std::int64_t newClockStartMs = 0);
   void kill();
 
-  /// The ends that no accepted renewal has acknowledged yet.
-  const std::vector<TaskEnd> &unacknowledgedEnds() const { return this->ends; }
-
   std::size_t runningCount() const { return this->running.size(); }
 
   /// When this incarnation started.
