--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,11 +1,12 @@
-// soak SEED SECONDS PROGRAM [grown|deployed]: runs real daemons as processes of their own, injects
-// faults from outside and checks the promises that callers and workers see: what was accepted is
-// known and ends, no task runs twice or again after an acknowledged success, and the configuration
-// is never older than one that was acknowledged. The workers are stand-ins. They restart under
-// their identifiers and are cut off soon after, carry out some orders seconds late without an
-// answer, and run some tasks for longer than a lease. At the end as many disks are lost as the cell
-// tolerates, and all other machines lose power; then every daemon has to answer within the recovery
-// time. Exit code 1: a promise was broken; the folder with the logs is kept and named.
+// soak SEED SECONDS PROGRAM [workers|grown|deployed]: runs real daemons as processes of their own,
+// injects faults from outside and checks the promises that callers and workers see: what was
+// accepted is known and ends, no task runs twice or again after an acknowledged success, and the
+// configuration is never older than one that was acknowledged. The workers are stand-ins. They
+// restart under their identifiers and are cut off soon after, carry out some orders seconds late
+// without an answer, and run some tasks for longer than a lease; with "workers", no leader changes
+// meanwhile, so that its leases and releases are put to the test. At the end as many disks are lost
+// as the cell tolerates, and all other machines lose power; then every daemon has to answer within
+// the recovery time. Exit code 1: a promise was broken; the folder with the logs is kept and named.
 #include "FakePlatform.h"
 #include "Machines.h"
 #include "Proxy.h"
@@ -48,9 +49,11 @@
   std::size_t toleratedLosses; ///< Disks that may be lost at the same time.
   seconds catchUp;             ///< A machine that was lost counts as lost until it has caught up.
   seconds recovery;            ///< From the return of all machines to a cell that answers.
+  bool harmsDaemons = true;    ///< False: before the last fault only the workers are harmed.
 };
 
 constexpr CellSize SmallCell = {3, 5, 1, seconds(4), seconds(12)};
+constexpr CellSize WorkersCell = {3, 5, 1, seconds(4), seconds(12), false};
 constexpr CellSize GrownCell = {6, 38, 2, seconds(6), seconds(15)};
 constexpr CellSize DeployedCell = {3, 12, 1, seconds(4), seconds(12)};
 
@@ -97,8 +100,8 @@
 
 /// Besides the short jobs there are some whose tasks last for longer than the leader's lease.
 constexpr std::uint64_t ShortTaskMs = 150;
-constexpr std::uint64_t MinLongTaskMs = 6000;
-constexpr std::uint64_t MaxLongTaskMs = 8000;
+constexpr std::uint64_t MinLongTaskMs = 8000;
+constexpr std::uint64_t MaxLongTaskMs = 10000;
 
 /// Pause between two such jobs, so that the workers have room for all. The first come at once.
 constexpr milliseconds LongJobPause(1200);
@@ -150,8 +153,10 @@
     const auto end = Clock::now() + duration;
     while (Clock::now() < end && this->broken.empty()) {
       this->step();
-      this->harm();
-      this->harmDisks();
+      if (this->size.harmsDaemons) {
+        this->harm();
+        this->harmDisks();
+      }
       this->workerFaults.harm();
       std::this_thread::sleep_for(milliseconds(20));
     }
@@ -262,7 +267,11 @@
 
   void submit() {
     const std::uint64_t count = 1 + this->random.below(4);
-    this->submitTo(this->random.below(this->size.machines), count, ShortTaskMs);
+    const json step = {{"Count", count}, {"Cpu", 500}, {"EstimatedMs", ShortTaskMs}};
+    json next = step;
+    next["Count"] = 1;
+    next["After"] = {0};
+    this->submitTo(this->random.below(this->size.machines), ShortTaskMs, {step, next});
   }
 
   void submitLongJob() {
@@ -271,18 +280,17 @@
     this->nextLongJob = Clock::now() + LongJobPause;
     const std::size_t index = this->taskRandom.below(this->size.machines);
     const std::uint64_t count = 1 + this->taskRandom.below(4);
-    const std::uint64_t range = MaxLongTaskMs - MinLongTaskMs;
-    this->submitTo(index, count, MinLongTaskMs + this->taskRandom.below(range));
+    const std::uint64_t taskMs =
+        MinLongTaskMs + this->taskRandom.below(MaxLongTaskMs - MinLongTaskMs);
+    const json step = {{"Count", count}, {"Cpu", 500}, {"EstimatedMs", taskMs}};
+    this->submitTo(index, taskMs, {step});
   }
 
   /// Each task takes `taskMs`; the stand-in reads it from the specification.
-  void submitTo(std::size_t index, std::uint64_t count, std::uint64_t taskMs) {
+  void submitTo(std::size_t index, std::uint64_t taskMs, const std::vector<json> &steps) {
     std::array<char, 17> id = {};
     std::snprintf(id.data(), id.size(), "%016zx", ++this->lastJob);
-    const json body = {{"TaskSpec", std::to_string(taskMs)},
-                       {"Steps",
-                        {{{"Count", count}, {"Cpu", 500}, {"EstimatedMs", taskMs}},
-                         {{"Count", 1}, {"Cpu", 500}, {"EstimatedMs", taskMs}, {"After", {0}}}}}};
+    const json body = {{"TaskSpec", std::to_string(taskMs)}, {"Steps", steps}};
     const http::CallResult result = call(*this->client, "127.0.0.1", this->fronts[index]->port(),
                                          "POST", "/q/" + std::string(id.data()), body.dump());
     if (result.verdict == base::Verdict::Ran && result.response.status == 200)
@@ -676,11 +684,11 @@
   std::uint64_t seed = 0;
   std::uint64_t duration = 0;
   const std::map<std::string, CellSize> sizes = {
-      {"", SmallCell}, {"grown", GrownCell}, {"deployed", DeployedCell}};
+      {"", SmallCell}, {"workers", WorkersCell}, {"grown", GrownCell}, {"deployed", DeployedCell}};
   const auto size = sizes.find(argc == 5 ? argv[4] : "");
   if (argc < 4 || argc > 5 || size == sizes.end() || !readNumber(argv[1], seed) ||
       !readNumber(argv[2], duration)) {
-    std::fprintf(stderr, "usage: soak SEED SECONDS PROGRAM [grown|deployed]\n");
+    std::fprintf(stderr, "usage: soak SEED SECONDS PROGRAM [workers|grown|deployed]\n");
     return 2;
   }
   return Soak(seed, argv[3], size->second).run(seconds(duration));
