Raise the token as soon as a restart is seen

The log has a restart that was seen and not committed for 2 s; meanwhile the worker took orders of its former incarnation, since the questions it answered carried the same token, and a late renewal likely made it forget two successes unseen.

The number in the token now rises when an answer shows another incarnation, and the worker is asked again at once, so that the former incarnation's orders are barred one round trip after the restart was seen and not only after it was recorded. Numbers come from the counter of the sessions, so the recorded session's is higher still.

RestartedWorker.RefusesLateOrdersOnceItsRestartIsSeen fails with the rise taken out ("CHECK(tokens[1] > former)") and passes now. test_jobs: 84 of 84 without StepStarvation.

--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -176,6 +176,7 @@
     session = WorkerSession();
     session.number = number;
     session.serial = ++this->lastSession;
+    session.fenceNumber = session.serial;
     session.proposed = this->proposedOn(id);
     session.incarnation = worker->profile.incarnation;
     session.slowness = this->speeds.slowness(id);
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Lower bits of a fencing token, for the session; the term stands above them. So a token never
-/// falls for one worker, whether it restarts, is removed and registers again, or the leader
+/// Lower bits of a fencing token, counted up by a leader; the term stands above them. So a token
+/// never falls for one worker, whether it restarts, is removed and registers again, or the leader
 /// changes.
 constexpr unsigned SessionBits = 32;
 
@@ -56,8 +56,8 @@
 } // namespace
 
 std::uint64_t Dispatcher::State::fencingTokenOf(const WorkerSession &session) const {
-  assert(session.serial < std::uint64_t(1) << SessionBits);
-  return (this->options.term << SessionBits) | session.serial;
+  assert(session.fenceNumber < std::uint64_t(1) << SessionBits);
+  return (this->options.term << SessionBits) | session.fenceNumber;
 }
 
 OrderTarget Dispatcher::State::targetOf(const Worker &worker, const WorkerSession &session) const {
@@ -537,8 +537,12 @@
   if (answer.startTimeMs && session->incarnation.startTimeMs != 0 &&
       *answer.startTimeMs != session->incarnation.startTimeMs) {
     dispatcher.proposeRestart(*worker, *session, *answer.startTimeMs);
-    session->isDoubted = true; // Until the restart is recorded.
-    session->nextRenewal = now + RetryPause;
+    // Until the restart is recorded, the worker is only asked; the first time at once, since the
+    // higher token bars the orders of the former incarnation.
+    session->nextRenewal = session->isRestartSeen ? now + RetryPause : now;
+    session->isRestartSeen = true;
+    session->isDoubted = true;
+    session->fenceNumber = ++dispatcher.lastSession;
     return;
   }
   if (!session->hasAnswered) {
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -87,6 +87,7 @@
   WorkerNumber number = 0;
   std::uint64_t serial =
       0; ///< Never reused by one dispatcher; answers to earlier sessions are void.
+  std::uint64_t fenceNumber = 0; ///< Lower part of the fencing token. Rises when a restart is seen.
   WorkerIncarnation incarnation;
   const Worker *worker = nullptr; ///< In the table, as long as the session lives.
   bool hasAnswered = false;       ///< This incarnation has answered in this session.
@@ -97,6 +98,7 @@
   /// Another incarnation may have taken its place: it is asked at once, beside a renewal that
   /// waits.
   bool isDoubted = false;
+  bool isRestartSeen = false;           ///< Another incarnation has answered; not recorded yet.
   std::optional<OrderId> identityProbe; ///< The renewal whose answer settles the doubt.
   base::TimePoint nextDoubt = base::TimePoint::min(); ///< Earlier doubts are not followed.
   std::optional<WorkerProfile> claimed; ///< The last report of another life under this id.
--- a/packages/jobs/tests/RestartedWorkerTest.cpp
+++ b/packages/jobs/tests/RestartedWorkerTest.cpp
@@ -354,3 +354,25 @@
   // The former leader may have sent it for 2 s, and the longest lease follows.
   CHECK(cell.now - begin >= std::chrono::seconds(12));
 }
+
+/// Until the restart was recorded the worker took late orders of its former incarnation, whose
+/// token was the same.
+TEST(RestartedWorker, RefusesLateOrdersOnceItsRestartIsSeen) {
+  ManualCell cell;
+  const std::uint64_t former = renew(cell, answerOf(FormerStartMs, 1000)).target.fencingToken;
+  std::vector<std::uint64_t> tokens;
+  for (int round = 0; round < 60; ++round) {
+    cell.now += std::chrono::milliseconds(10);
+    // Nothing is committed meanwhile.
+    for (const Action &action : cell.dispatcher->takeActions(cell.now, EpochMs)) {
+      const auto *hold = std::get_if<RenewLeaseOrder>(&action);
+      if (hold == nullptr)
+        continue;
+      tokens.push_back(hold->target.fencingToken);
+      cell.dispatcher->onRenewLeaseAnswer(hold->id, answerOf(NextStartMs, 20), cell.now);
+    }
+  }
+  CHECK(tokens.size() > 1);
+  CHECK_EQUAL(former, tokens.front());
+  CHECK(tokens[1] > former);
+}
