Give jobs, requests and configurations their workspaces

Cause: callers have no identity. Configurations hold queues and services only, so no request can be told from another one, and neither limits nor shares can be kept.

Change: the replicated table and the messages between daemons carry workspaces with their keys, weights and limits, the workspace of each job, and the key of each request.

The tests of jobs, wire and platform pass.

--- a/packages/jobs/include/banyanrill/jobs/Api.h
+++ b/packages/jobs/include/banyanrill/jobs/Api.h
@@ -12,7 +12,8 @@
 struct SubmitRequest {
   std::string host;
   std::string path;
-  JobSpec spec; ///< Without the identifier.
+  JobSpec spec;    ///< Without the identifier.
+  std::string key; ///< Of the caller's workspace; empty: none. Never logged.
   bool operator==(const SubmitRequest &) const = default;
 };
 
@@ -20,12 +21,14 @@
 struct StateRequest {
   std::string host;
   std::string path;
+  std::string key; ///< As in `SubmitRequest`.
   bool operator==(const StateRequest &) const = default;
 };
 
 struct CancelRequest {
   std::string host;
   std::string path;
+  std::string key; ///< As in `SubmitRequest`.
   bool operator==(const CancelRequest &) const = default;
 };
 
@@ -74,6 +77,9 @@
   Unavailable,      ///< Did not run: there is no leader, or it has no configuration.
   InDoubt,          ///< May have run: contact with the leader was lost before its answer.
   RedirectToLeader, ///< Did not run: send the request to `leaderAddress`.
+  Unauthorized,     ///< Did not run: the key is missing or belongs to no workspace.
+  Forbidden,        ///< Did not run: the job belongs to another workspace.
+  Unconfirmed,      ///< Did not run: the node may no longer lead. Retried until the deadline.
 };
 
 struct Reply {
--- a/packages/jobs/include/banyanrill/jobs/Command.h
+++ b/packages/jobs/include/banyanrill/jobs/Command.h
@@ -16,6 +16,7 @@
 struct AcceptJob {
   JobSpec spec;
   Queue queue;
+  std::string workspace; ///< Empty: none.
   bool operator==(const AcceptJob &) const = default;
 };
 
--- a/packages/jobs/include/banyanrill/jobs/Model.h
+++ b/packages/jobs/include/banyanrill/jobs/Model.h
@@ -74,15 +74,27 @@
   double stretch = 0; ///< Target duration of a job: stretch * critical path + `latencyMs`.
   std::int64_t latencyMs = 0;
   std::optional<AdvicePolicy> advice; ///< Set: only advised workers may run a task.
+  bool isPublic = false;              ///< Requests need no key.
 
   bool operator==(const Queue &) const = default;
 };
 
+/// A group of callers with a quota of its own, identified by its keys.
+struct Workspace {
+  std::string name;
+  std::vector<std::string> keys;
+  double weight = 0;     ///< Share of the room when all of it is in use, relative to the others.
+  base::Resources limit; ///< Of what runs at the same time; 0: no limit on that resource.
+
+  bool operator==(const Workspace &) const = default;
+};
+
 /// One version of the operators' configuration; `document` is what was sent, for reading back.
 struct Configuration {
   std::uint64_t version = 0;
   std::vector<Queue> queues;
   std::vector<std::string> services;
+  std::optional<std::vector<Workspace>> workspaces; ///< Unset: callers need no keys.
   std::string document;
 
   bool operator==(const Configuration &) const = default;
@@ -214,6 +226,7 @@
 struct Job {
   JobSpec spec;
   Queue queue; ///< As configured when the job was accepted, and updated by later configurations.
+  std::string workspace; ///< Whose key submitted the job; empty: none.
   JobPhase phase = JobPhase::Active;
   bool started = false; ///< A task has been placed.
   std::int64_t acceptedMs = 0;
--- a/packages/jobs/src/Api.cpp
+++ b/packages/jobs/src/Api.cpp
@@ -52,9 +52,9 @@
 }
 
 std::string_view nameOf(ReplyCode code) {
-  static constexpr std::array<std::string_view, 8> Names = {
-      "done", "invalid",     "no_such_queue", "no_such_job",
-      "busy", "unavailable", "in_doubt",      "ask_leader"};
+  static constexpr std::array<std::string_view, 11> Names = {
+      "done",     "invalid",    "no_such_queue", "no_such_job", "busy",       "unavailable",
+      "in_doubt", "ask_leader", "unauthorized",  "forbidden",   "unconfirmed"};
   return nameIn(Names, code);
 }
 
--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -97,6 +97,7 @@
   Job &job = position->second;
   job.spec = command.spec;
   job.queue = command.queue;
+  job.workspace = command.workspace;
   job.acceptedMs = this->content.lastTimeMs;
   if (job.spec.repeatCount == 0)
     this->openUpTo(job, 1);
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -131,7 +131,7 @@
 }
 
 void FakeCell::submit(JobSpec spec, Queue queue) {
-  this->log.emplace_back(this->nowMs + CommitMs, AcceptJob{std::move(spec), std::move(queue)});
+  this->log.emplace_back(this->nowMs + CommitMs, AcceptJob{std::move(spec), std::move(queue), {}});
 }
 
 void FakeCell::cancel(const std::string &job) {
--- a/packages/jobs/tests/ManualCell.h
+++ b/packages/jobs/tests/ManualCell.h
@@ -31,7 +31,7 @@
     spec.steps[0].estimatedMs = 1000;
     this->table.apply({EpochMs, {PutConfiguration{configuration}, RegisterWorker{profile}}});
     this->lead(5);
-    this->apply({AcceptJob{spec, queue}});
+    this->apply({AcceptJob{spec, queue, {}}});
   }
 
   void lead(std::uint64_t term) {
--- a/packages/jobs/tests/OverloadTest.cpp
+++ b/packages/jobs/tests/OverloadTest.cpp
@@ -24,7 +24,7 @@
 /// Accepts a job at this time, in ms.
 void accept(Table &table, StepQueue &steps, const std::string &id, const Queue &queue,
             std::int64_t timeMs, std::uint32_t tasks = 1) {
-  table.apply({timeMs, {AcceptJob{makeJob(id, tasks, 1000, 1000), queue}}});
+  table.apply({timeMs, {AcceptJob{makeJob(id, tasks, 1000, 1000), queue, {}}}});
   steps.refresh(id, base::TimePoint(std::chrono::milliseconds(timeMs)), timeMs);
 }
 
@@ -75,7 +75,7 @@
   const auto acceptGang = [&](const std::string &id, std::uint32_t members, std::int64_t timeMs) {
     JobSpec spec = makeJob(id, members, 1000, 5000);
     spec.steps[0].gang = true;
-    table.apply({timeMs, {AcceptJob{std::move(spec), queueOf(1, 2, 1000)}}});
+    table.apply({timeMs, {AcceptJob{std::move(spec), queueOf(1, 2, 1000), {}}}});
     steps.refresh(id, base::TimePoint(std::chrono::milliseconds(timeMs)), timeMs);
   };
   acceptGang("narrow", 10, 0);
--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -44,7 +44,7 @@
   }
   void accept(JobSpec spec) {
     this->apply(PutConfiguration{configurationOf(1, "/q/")});
-    this->apply(AcceptJob{std::move(spec), configurationOf(1, "/q/").queues[0]});
+    this->apply(AcceptJob{std::move(spec), configurationOf(1, "/q/").queues[0], {}});
     this->apply(RegisterWorker{profileOf("w", "10.0.0.1:80", 1)});
   }
   void place(const RunKey &run) { this->apply(PlaceRuns{1, {{run, "w"}}}); }
@@ -80,7 +80,7 @@
 TEST(Table, JobSubmittedTwiceIsAcceptedOnce) {
   this->cell.accept(makeJob("job", 2, 100, 100));
   this->cell.place({{"job", 0, 0, 0}, 1});
-  this->cell.apply(AcceptJob{makeJob("job", 9, 100, 100), configurationOf(1, "/q/").queues[0]});
+  this->cell.apply(AcceptJob{makeJob("job", 9, 100, 100), configurationOf(1, "/q/").queues[0], {}});
   CHECK_EQUAL(2U, this->cell.table.findJob("job")->spec.steps[0].count);
   CHECK(this->cell.table.findJob("job")->started);
 }
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -80,7 +80,7 @@
   }
   jobs::JobSpec spec = request.spec;
   spec.id = id;
-  this->proposeFor(jobs::AcceptJob{std::move(spec), *queue}, std::move(reply), {});
+  this->proposeFor(jobs::AcceptJob{std::move(spec), *queue, {}}, std::move(reply), {});
 }
 
 void Node::State::answerTyped(const jobs::StateRequest &request, const ReplyTo &reply) {
--- a/packages/wire/src/JobFields.h
+++ b/packages/wire/src/JobFields.h
@@ -19,8 +19,9 @@
 BANYANRILL_FIELDS(JobSpec, v.id, v.taskSpec, v.steps, v.repeatCount, v.firstStartMs, v.intervalMs)
 BANYANRILL_FIELDS(AdvicePolicy, v.baseMs, v.perWorkerMs, v.ticketLifeMs)
 BANYANRILL_FIELDS(Queue, v.name, v.host, v.pathPrefix, v.service, v.timeoutMs, v.priority,
-                  v.maxAttempts, v.stretch, v.latencyMs, v.advice)
-BANYANRILL_FIELDS(Configuration, v.version, v.queues, v.services, v.document)
+                  v.maxAttempts, v.stretch, v.latencyMs, v.advice, v.isPublic)
+BANYANRILL_FIELDS(Workspace, v.name, v.keys, v.weight, v.limit)
+BANYANRILL_FIELDS(Configuration, v.version, v.queues, v.services, v.workspaces, v.document)
 BANYANRILL_FIELDS(TaskKey, v.job, v.occurrence, v.step, v.index)
 BANYANRILL_FIELDS(StepKey, v.job, v.occurrence, v.step)
 BANYANRILL_FIELDS(RunKey, v.task, v.run)
@@ -34,13 +35,13 @@
 BANYANRILL_FIELDS(StepProgress, v.tasks, v.succeeded, v.placements, v.lastFailedRun)
 BANYANRILL_FIELDS(Occurrence, v.steps, v.stepsDone)
 BANYANRILL_FIELDS(Job, v.spec, v.queue, v.phase, v.started, v.acceptedMs, v.endedMs, v.opened,
-                  v.finished, v.occurrences)
+                  v.finished, v.occurrences, v.workspace)
 BANYANRILL_FIELDS(Wave, v.number, v.waiting, v.durationMs, v.limit, v.acceptedMs)
 BANYANRILL_FIELDS(Member, v.replica, v.address, v.region)
 BANYANRILL_FIELDS(TableState, v.configuration, v.jobs, v.workers, v.waves, v.members, v.lastTimeMs)
 
 BANYANRILL_FIELDS(PutConfiguration, v.configuration)
-BANYANRILL_FIELDS(AcceptJob, v.spec, v.queue)
+BANYANRILL_FIELDS(AcceptJob, v.spec, v.queue, v.workspace)
 BANYANRILL_FIELDS(CancelJob, v.job)
 BANYANRILL_FIELDS(OpenOccurrences, v.job, v.count)
 BANYANRILL_FIELDS(PlacedRun, v.run, v.worker)
@@ -57,9 +58,9 @@
 BANYANRILL_FIELDS(RestartWorker, v.former, v.profile)
 BANYANRILL_FIELDS(CommandBatch, v.logTimeMs, v.commands)
 
-BANYANRILL_FIELDS(SubmitRequest, v.host, v.path, v.spec)
-BANYANRILL_FIELDS(StateRequest, v.host, v.path)
-BANYANRILL_FIELDS(CancelRequest, v.host, v.path)
+BANYANRILL_FIELDS(SubmitRequest, v.host, v.path, v.spec, v.key)
+BANYANRILL_FIELDS(StateRequest, v.host, v.path, v.key)
+BANYANRILL_FIELDS(CancelRequest, v.host, v.path, v.key)
 BANYANRILL_FIELDS(ConfigureRequest, v.configuration)
 template <typename Archive> void describe(Archive &archive, ReadConfigurationRequest & /*v*/) {
   archive();
--- a/packages/wire/tests/PeerMutationTest.cpp
+++ b/packages/wire/tests/PeerMutationTest.cpp
@@ -22,7 +22,7 @@
   profile.labels = {"a", "r1-3"};
   const jobs::RunKey run{{spec.id, 0, 1, 3}, 1};
   return {17,
-          {jobs::AcceptJob{spec, {}}, jobs::RegisterWorker{profile},
+          {jobs::AcceptJob{spec, {}, {}}, jobs::RegisterWorker{profile},
            jobs::RestartWorker{{"i-1", 16}, profile}, jobs::PlaceRuns{3, {{run, "i-1"}}},
            jobs::RecordEnds{{"i-1", 17}, {{1, run, jobs::EndKind::Failed, "c"}}}}};
 }
@@ -55,7 +55,7 @@
   jobs::Table table;
   table.apply(someBatch());
   wire::ForwardedRequest forwarded;
-  forwarded.request = jobs::SubmitRequest{"h", "/p/5c0e7a21d94b36f8", {}};
+  forwarded.request = jobs::SubmitRequest{"h", "/p/5c0e7a21d94b36f8", {}, {}};
   const std::array<std::string, 3> valid = {wire::encode(someBatch()), wire::encode(table.state()),
                                             wire::encode(wire::PeerRequest(forwarded))};
   for (const std::string &bytes : valid) {
