--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -7,6 +7,7 @@
 #include "banyanrill/jobs/Api.h"
 #include "banyanrill/jobs/GangDecision.h"
 #include "banyanrill/jobs/Orders.h"
+#include "banyanrill/jobs/ShareLedger.h"
 #include "banyanrill/jobs/Table.h"
 #include "banyanrill/jobs/WorkerDecision.h"
 
@@ -27,6 +28,8 @@
   base::Duration gangTimeout = std::chrono::milliseconds(3000);
   /// Ended jobs stay in the table for this long.
   base::Duration endedJobRetention = std::chrono::seconds(150);
+  /// Part of a workspace's limit that a gang may use beyond it.
+  double quotaTolerance = 0.1;
 };
 
 /// Counters since the leader's term began.
@@ -105,6 +108,17 @@
   /// Bounded: what does not fit is left out.
   std::vector<WorkerDecision> takeWorkerDecisions();
 
+  /// Returns which workspaces have reached or left their limits since the last call. Bounded: at
+  /// most one decision of each workspace in some seconds.
+  std::vector<LimitDecision> takeLimitDecisions();
+
+  /// Use and limit of each workspace of the configuration, and of others with runs.
+  std::vector<WorkspaceLoad> workspaceLoads() const;
+
+  /// Whether the use of all workspaces equals the sum over the table and the proposed runs. For
+  /// tests: looks at all runs.
+  bool isUseConsistent() const;
+
   /// Looks at all workers and open steps.
   CellLoad load(base::TimePoint now) const;
 
--- a/packages/jobs/include/banyanrill/jobs/GangDecision.h
+++ b/packages/jobs/include/banyanrill/jobs/GangDecision.h
@@ -16,12 +16,14 @@
   RoomInUse,      ///< Its places are reserved; some become free later.
   TicketsExpired, ///< Its places are free, and some tickets are no longer valid.
   RoomReserved,   ///< Its places are free, and held for the gangs before it.
+  OverLimit,      ///< It would take its workspace over its limit.
 };
 
-constexpr std::size_t GangOutcomes = 6;
+constexpr std::size_t GangOutcomes = 7;
 
 constexpr std::array<std::string_view, GangOutcomes> GangOutcomeNames = {
-    "placed", "passed_over", "too_few_places", "room_in_use", "tickets_expired", "room_reserved"};
+    "placed", "passed_over", "too_few_places", "room_in_use", "tickets_expired", "room_reserved",
+    "over_limit"};
 
 /// Thread-safe.
 constexpr std::string_view nameOf(GangOutcome outcome) {
--- a/packages/jobs/include/banyanrill/jobs/Table.h
+++ b/packages/jobs/include/banyanrill/jobs/Table.h
@@ -20,12 +20,22 @@
   bool operator==(const TableState &) const = default;
 };
 
+/// A run was added to the placements of a worker, or removed from them.
+struct OccupancyChange {
+  std::string workspace; ///< Of its job.
+  base::Resources demand;
+  bool isAdded = false;
+
+  bool operator==(const OccupancyChange &) const = default;
+};
+
 /// What one command changed, for the dispatcher and the log.
 struct Effect {
   std::set<std::string> changedJobs;
   std::set<std::string> changedWorkers;
   std::vector<PlacedRun> placed; ///< Orders to start may leave now.
   std::vector<std::string> endedJobs;
+  std::vector<OccupancyChange> occupancy; ///< In order; each change of a worker's placements.
 };
 
 enum class ReportMeaning : std::uint8_t {
@@ -74,6 +84,10 @@
   void applyOne(const PutMember &command, Effect &effect);
   void applyOne(const RestartWorker &command, Effect &effect);
 
+  /// Precondition: the job is in the table.
+  static void noteOccupancy(const Job &job, const TaskKey &task, bool isAdded, Effect &effect);
+  /// The placements of a job that is about to be removed count no longer.
+  void noteForgotten(const Job &job, Effect &effect) const;
   /// Whether a worker that started later has registered at the same address.
   bool hasSuccessor(const WorkerProfile &profile) const;
   void release(Worker &worker, const RunKey &run, const std::string &checkpoint, Effect &effect);
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -37,13 +37,57 @@
 Dispatcher::State::State(const Table &jobTable, DispatcherOptions dispatcherOptions,
                          base::RandomSource source, base::TimePoint start, std::int64_t wallClock)
     : table(jobTable), options(dispatcherOptions), random(source), started(start), now(start),
-      wallClockMs(wallClock), queue(jobTable) {
+      wallClockMs(wallClock), ledger(dispatcherOptions.quotaTolerance), queue(jobTable, ledger) {
+  for (const auto &[name, use] : this->recomputeUse())
+    this->ledger.add(this->ledger.numberOf(name), use);
+  this->ledger.configure(this->table.state().configuration);
   for (const auto &[id, worker] : this->table.state().workers)
     this->refreshWorker(id, SessionCause::NewLeader);
   for (const auto &[id, job] : this->table.state().jobs)
     this->refreshJob(id);
 }
 
+std::map<std::string, base::Resources> Dispatcher::State::recomputeUse() const {
+  std::map<std::string, base::Resources> uses;
+  for (const auto &[id, worker] : this->table.state().workers) {
+    for (const auto &[task, placement] : worker.placements) {
+      const Job *job = this->table.findJob(task.job);
+      if (job == nullptr)
+        continue;
+      base::Resources &use = uses[job->workspace];
+      use = use + demandOf(job->spec.steps[task.step]);
+    }
+  }
+  for (const auto &[step, runs] : this->pending) {
+    const Job *job = this->table.findJob(step.job);
+    if (job == nullptr)
+      continue;
+    base::Resources &use = uses[job->workspace];
+    use = use + demandOf(job->spec.steps[step.step]) * static_cast<std::int64_t>(runs.size());
+  }
+  std::erase_if(uses, [](const auto &entry) { return entry.second == base::Resources(); });
+  return uses;
+}
+
+void Dispatcher::State::applyOccupancy(const Effect &effect) {
+  for (const OccupancyChange &change : effect.occupancy) {
+    const WorkspaceNumber workspace = this->ledger.numberOf(change.workspace);
+    if (change.isAdded)
+      this->ledger.add(workspace, change.demand);
+    else
+      this->ledger.remove(workspace, change.demand);
+  }
+}
+
+void Dispatcher::State::refreshWorkspaces() {
+  this->planNeeded = true;
+  if (!this->ledger.configure(this->table.state().configuration))
+    return;
+  // The latest start of a step depends on how much of it may run at once.
+  for (const std::string &id : this->queue.jobs())
+    this->queue.refresh(id, this->now, this->wallClockMs);
+}
+
 void Dispatcher::State::refreshJob(const std::string &id) {
   this->queue.refresh(id, this->now, this->wallClockMs);
   this->planNeeded = true;
@@ -283,6 +327,7 @@
 void Dispatcher::onApplied(const CommandBatch &batch, const Effect &effect, base::TimePoint now) {
   State &dispatcher = *this->state;
   dispatcher.now = now;
+  dispatcher.applyOccupancy(effect);
   for (const Command &command : batch.commands) {
     if (const auto *ends = std::get_if<RecordEnds>(&command)) {
       for (const TaskEnd &end : ends->ends)
@@ -347,6 +392,10 @@
         session->second.resourcesStale = true;
     }
   }
+  if (std::any_of(batch.commands.begin(), batch.commands.end(), [](const Command &command) {
+        return std::holds_alternative<PutConfiguration>(command);
+      }))
+    dispatcher.refreshWorkspaces();
   for (const std::string &job : effect.changedJobs)
     dispatcher.refreshJob(job);
   // The running tasks of an ended job are stopped on all their workers.
@@ -453,6 +502,18 @@
   return std::exchange(this->state->decisions, {});
 }
 
+std::vector<LimitDecision> Dispatcher::takeLimitDecisions() {
+  return this->state->ledger.takeDecisions();
+}
+
+std::vector<WorkspaceLoad> Dispatcher::workspaceLoads() const {
+  return this->state->ledger.loads();
+}
+
+bool Dispatcher::isUseConsistent() const {
+  return this->state->ledger.uses() == this->state->recomputeUse();
+}
+
 CellLoad Dispatcher::load(base::TimePoint now) const {
   State &dispatcher = *this->state;
   CellLoad load;
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -8,7 +8,9 @@
 #include "StepQueue.h"
 #include "WorkerSession.h"
 #include "banyanrill/jobs/Dispatcher.h"
+#include "banyanrill/jobs/ShareLedger.h"
 
+#include <span>
 #include <unordered_map>
 
 namespace banyanrill::jobs {
@@ -20,6 +22,8 @@
   std::uint32_t run = 0;
   std::string ticket;
   base::TimePoint ticketUntil = base::TimePoint::max();
+  WorkspaceNumber workspace = 0;
+  base::Resources demand;
 };
 
 /// The session and run that an order concerns.
@@ -39,6 +43,14 @@
   std::uint32_t slots = 0;
 };
 
+/// State of one planning round.
+struct PlanRound {
+  PlaceRuns command;
+  bool isGangRound = false;
+  std::size_t reservingGangs = 0;
+  std::size_t position = 0; ///< Of the next gang.
+};
+
 struct Dispatcher::State {
   State(const Table &jobTable, DispatcherOptions dispatcherOptions, base::RandomSource source,
         base::TimePoint start, std::int64_t wallClock);
@@ -57,6 +69,7 @@
   std::vector<std::pair<std::int64_t, WorkerSession *>> byFreeProcessors;
   std::set<std::string> dirtyWorkers;
   base::TimePoint nextSweep = base::TimePoint::min();
+  ShareLedger ledger; ///< Of all placements in the table and all pending runs.
   StepQueue queue;
   AdviceTracker adviceTracker;
   GangDecisions gangDecisions;
@@ -70,6 +83,10 @@
   bool planNeeded = true;
   base::TimePoint nextPlan = base::TimePoint::min();
   base::TimePoint nextGangRound = base::TimePoint::min();
+  /// Filled in when a gang of the round waits for its workspace's limit.
+  std::map<WorkspaceNumber, std::vector<ExpectedEnd>> endingsByWorkspace;
+  base::Resources capacity; ///< Of all workers that may get tasks.
+  base::TimePoint nextCapacity = base::TimePoint::min();
   std::set<std::string> begun;                  ///< Active jobs with a run that a worker confirmed.
   std::map<std::string, std::uint64_t> waiting; ///< Number of jobs not begun, by queue.
   std::map<std::string, std::string> waitingJobs;       ///< Queue of each job not begun.
@@ -141,10 +158,30 @@
                      base::TimePoint sentAt);
   void proposeRestart(const Worker &worker, const WorkerSession &session, std::int64_t startTimeMs);
 
+  // Limits and shares of workspaces.
+  void applyOccupancy(const Effect &effect);
+  /// Takes over the limits and weights of the configuration in the table.
+  void refreshWorkspaces();
+  WorkspaceNumber workspaceOf(const Job &job) { return this->ledger.numberOf(job.workspace); }
+  /// Whether the run is withheld because a configuration set its workspace's limit below the use.
+  /// Precondition: its start was not answered.
+  bool isWithheld(const RunKey &run, RunStatus &view);
+  /// Sums up the table and the pending runs by workspace; looks at all runs.
+  std::map<std::string, base::Resources> recomputeUse() const;
+
   // Placement.
   void plan();
-  void planTasks(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
-                 PlaceRuns &command);
+  /// Sums up what each workspace asks for, and finds the shares for this round.
+  void beginShares(const std::vector<const OpenStep *> &steps);
+  /// Plans steps of one tier: first those of workspaces below their share.
+  void planTier(std::span<const OpenStep *const> steps, PlanRound &round);
+  /// Plans what the workspace may start until it passes the bound. \returns whether nothing is left
+  /// to try for the step in this round.
+  bool planWithin(ShareBound bound, const OpenStep &open, PlanRound &round);
+  void planGang(const OpenStep &open, PlanRound &round);
+  /// Places up to `most` tasks, and asks for advice on those that found no worker. \returns how
+  /// many were placed.
+  std::size_t planTasks(const OpenStep &open, std::uint32_t most, PlaceRuns &command);
   void place(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
              PlaceRuns &command);
   /// Places all members or none. \returns whether they are placed.
@@ -168,8 +205,14 @@
   // Reservations for gangs (GangReservations.cpp).
   /// Begins a round in which gangs are placed or get reservations, if it is time for one.
   bool beginGangRound();
-  /// Reserves room for a gang that was not placed. \returns what it waits for.
-  GangFinding reserveForGang(const OpenStep &open);
+  /// Reserves room for a gang that was not placed, from the time on at which its workspace has room
+  /// under its limit. \returns what it waits for.
+  GangFinding reserveForGang(const OpenStep &open, base::TimePoint limitRoomAt);
+  /// When the workspace of a gang is expected to have room for it under its limit, beside the gangs
+  /// of the workspace that have reservations; nothing if not within the horizon of reservations.
+  std::optional<base::TimePoint> limitRoomAt(const OpenStep &open);
+  /// Expected ends within the horizon, the soonest first.
+  const std::vector<ExpectedEnd> &endingsOf(WorkspaceNumber workspace);
   std::vector<SlotForecast> forecastSlots(const OpenStep &open);
   /// Whether a ticket for one of the places is not valid any more at this time.
   bool hasExpiredTicket(const OpenStep &open, const std::vector<SlotForecast> &chosen,
@@ -190,7 +233,7 @@
                             const std::map<std::string, std::uint32_t> &perWorker);
   base::Resources freeResources(WorkerSession &session);
   const RunFootprint *footprintOf(const WorkerSession &session, const TaskKey &task,
-                                  RunStatus &run) const;
+                                  RunStatus &run);
   base::TimePoint expectedEnd(const RunStatus &run) const;
   const PendingRun *findPending(const TaskKey &task) const;
   void dropPending(const TaskKey &task);
@@ -198,9 +241,6 @@
   std::map<std::string, std::uint32_t> tasksPerWorker(const OpenStep &open) const;
 };
 
-/// Returns the resources that a run occupies; best-effort runs occupy no processors.
-base::Resources demandOf(const Step &step);
-
 /// Returns how many times the demand fits.
 std::uint32_t slotsFor(const base::Resources &room, const base::Resources &demand);
 
--- a/packages/jobs/src/GangReservations.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -119,10 +119,54 @@
   this->gangDecisions.beginRound();
   for (auto &[id, session] : this->sessions)
     session.reservation.reset();
+  this->ledger.clearReservations();
+  this->endingsByWorkspace.clear();
   return true;
 }
 
-GangFinding Dispatcher::State::reserveForGang(const OpenStep &open) {
+const std::vector<ExpectedEnd> &Dispatcher::State::endingsOf(WorkspaceNumber workspace) {
+  if (this->endingsByWorkspace.empty()) {
+    for (auto &[id, session] : this->sessions) {
+      this->freeResources(session); // Brings the endings up to date.
+      for (const ExpectedEnd &ending : session.endings) {
+        if (ending.at > this->now + ReservationHorizon)
+          break;
+        this->endingsByWorkspace[ending.workspace].push_back(ending);
+      }
+    }
+    for (auto &[number, endings] : this->endingsByWorkspace)
+      std::sort(endings.begin(), endings.end(), [](const ExpectedEnd &left,
+                                                   const ExpectedEnd &right) {
+        return left.at < right.at;
+      });
+  }
+  return this->endingsByWorkspace[workspace];
+}
+
+std::optional<base::TimePoint> Dispatcher::State::limitRoomAt(const OpenStep &open) {
+  if (this->ledger.limitOf(open.workspace) == base::Resources())
+    return this->now;
+  const base::Resources gang = demandOf(*open.step) * open.step->count;
+  base::Resources use =
+      this->ledger.useOf(open.workspace) + this->ledger.reservedBy(open.workspace);
+  if (!this->ledger.isOverLoweredLimit(open.workspace) &&
+      this->ledger.mayPlaceGang(open.workspace, gang, use))
+    return this->now;
+  for (const ExpectedEnd &ending : this->endingsOf(open.workspace)) {
+    use = use - ending.demand;
+    if (this->ledger.mayPlaceGang(open.workspace, gang, use))
+      return std::max(ending.at, this->now + base::Duration(1));
+  }
+  return std::nullopt;
+}
+
+GangFinding Dispatcher::State::reserveForGang(const OpenStep &open, base::TimePoint limitRoomAt) {
+  const bool waitsForLimit = limitRoomAt > this->now;
+  // Advice is asked for when its answer can be used.
+  const bool mayDiscover =
+      !waitsForLimit ||
+      (open.job->queue.advice &&
+       this->now + callTime(*open.job->queue.advice, NamedPerCall) + RenewalLead >= limitRoomAt);
   std::vector<SlotForecast> forecasts = this->forecastSlots(open);
   const std::uint32_t members = open.step->count;
   const std::uint32_t wanted = members + members / SpareMemberShare;
@@ -144,9 +188,12 @@
   if (const StepAdvice *advice = this->adviceTracker.find(open.key))
     finding.permitted = advice->tickets.size();
   if (reserved < members) {
-    this->discoverWorkers(open);
+    if (mayDiscover)
+      this->discoverWorkers(open);
     return finding;
   }
+  start = std::max(start, limitRoomAt);
+  this->ledger.reserve(open.workspace, demandOf(*open.step) * members);
   forecasts.resize(used);
   const base::Resources demand = demandOf(*open.step);
   for (const SlotForecast &forecast : forecasts) {
@@ -157,12 +204,15 @@
     reservation->from = std::min(reservation->from, start);
     reservation->priority = std::max(reservation->priority, open.job->queue.priority);
   }
+  finding.startsIn = start - this->now;
   finding.outcome = start > this->now ? GangOutcome::RoomInUse : GangOutcome::RoomReserved;
+  if (waitsForLimit)
+    finding.outcome = GangOutcome::OverLimit;
   if (!open.job->queue.advice)
     return finding;
   if (start <= this->now && this->hasExpiredTicket(open, forecasts, this->now))
     finding.outcome = GangOutcome::TicketsExpired;
-  if (start > this->now + DiscoveryThreshold)
+  if (start > this->now + DiscoveryThreshold && mayDiscover)
     this->discoverWorkers(open);
   this->renewGangTickets(open, forecasts, start);
   return finding;
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -2,6 +2,7 @@
 #include "DispatcherState.h"
 
 #include <algorithm>
+#include <array>
 
 namespace banyanrill::jobs {
 
@@ -43,6 +44,9 @@
 /// Weight of a worker's speed for such a step, relative to its utilization.
 constexpr double SpeedWeight = 2;
 
+/// The capacity that shares refer to is summed up anew at this interval.
+constexpr base::Duration CapacityInterval = std::chrono::milliseconds(100);
+
 bool hasLabel(const WorkerProfile &profile, const std::string &label) {
   return std::find(profile.labels.begin(), profile.labels.end(), label) != profile.labels.end();
 }
@@ -60,13 +64,6 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(slots, 0));
 }
 
-base::Resources demandOf(const Step &step) {
-  base::Resources demand = step.demand;
-  if (step.bestEffortCpu)
-    demand.millicores = 0;
-  return demand;
-}
-
 base::Resources Dispatcher::State::freeResources(WorkerSession &session) {
   if (session.resourcesStale) {
     session.used = {};
@@ -84,7 +81,8 @@
       session.bestEffortRuns += footprint->bestEffort ? 1 : 0;
       session.latencySensitiveRuns += footprint->latencySensitive ? 1 : 0;
       if (!footprint->longRunning)
-        session.endings.push_back({this->expectedEnd(run->second), footprint->demand});
+        session.endings.push_back(
+            {this->expectedEnd(run->second), footprint->demand, footprint->workspace});
     }
     std::sort(session.endings.begin(), session.endings.end(),
               [](const ExpectedEnd &left, const ExpectedEnd &right) { return left.at < right.at; });
@@ -94,7 +92,7 @@
 }
 
 const RunFootprint *Dispatcher::State::footprintOf(const WorkerSession &session,
-                                                   const TaskKey &task, RunStatus &run) const {
+                                                   const TaskKey &task, RunStatus &run) {
   if (run.footprint)
     return &*run.footprint;
   const Job *job = this->table.findJob(task.job);
@@ -103,7 +101,7 @@
   const Step &step = job->spec.steps[task.step];
   run.footprint = RunFootprint{
       demandOf(step), this->speeds.expected(session.slowness, job->queue.name, step.estimatedMs),
-      step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning};
+      step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning, this->workspaceOf(*job)};
   return &*run.footprint;
 }
 
@@ -283,6 +281,7 @@
   const auto session = this->sessions.find(run->worker);
   if (job != nullptr && session != this->sessions.end())
     session->second.proposed = session->second.proposed - demandOf(job->spec.steps[task.step]);
+  this->ledger.remove(run->workspace, run->demand);
   const auto step = this->pending.find({task.job, task.occurrence, task.step});
   step->second.erase(task.index);
   if (step->second.empty())
@@ -297,6 +296,9 @@
   pendingRun.worker = id;
   pendingRun.session = session.serial;
   pendingRun.run = run;
+  pendingRun.workspace = open.workspace;
+  pendingRun.demand = demandOf(*open.step);
+  this->ledger.add(pendingRun.workspace, pendingRun.demand);
   if (const Ticket *ticket = this->adviceTracker.ticketFor(open.key, session.number, this->now)) {
     pendingRun.ticket = ticket->value;
     pendingRun.ticketUntil = ticket->until;
@@ -431,44 +433,128 @@
       this->adviceTracker.ask(this->nextOrder(), open, std::move(workers), this->now));
 }
 
-void Dispatcher::State::planTasks(const OpenStep &open,
-                                  const std::vector<std::uint32_t> &waitingTasks,
-                                  PlaceRuns &command) {
+std::size_t Dispatcher::State::planTasks(const OpenStep &open, std::uint32_t most,
+                                         PlaceRuns &command) {
+  most = this->ledger.placesFor(open.workspace, demandOf(*open.step), most);
+  if (most == 0)
+    return 0;
+  std::vector<std::uint32_t> waiting = this->waitingTasks(open);
+  if (waiting.size() > most)
+    waiting.resize(most);
+  if (waiting.empty())
+    return 0;
   const std::size_t placedBefore = command.runs.size();
-  this->place(open, waitingTasks, command);
+  this->place(open, waiting, command);
   const std::size_t placed = command.runs.size() - placedBefore;
   if (open.job->queue.advice && this->adviceTracker.hasFreeAdviser())
-    this->considerAdvice(open, static_cast<std::uint32_t>(waitingTasks.size() - placed));
+    this->considerAdvice(open, static_cast<std::uint32_t>(waiting.size() - placed));
+  return placed;
+}
+
+void Dispatcher::State::planGang(const OpenStep &open, PlanRound &round) {
+  const std::vector<std::uint32_t> waiting = this->waitingTasks(open);
+  if (waiting.empty())
+    return;
+  GangFinding finding;
+  const base::Resources gang = demandOf(*open.step) * open.step->count;
+  if (this->ledger.mayPlaceGang(open.workspace, gang) &&
+      this->placeGang(open, waiting, round.command)) {
+    finding.outcome = GangOutcome::Placed;
+  } else if (const std::optional<base::TimePoint> roomAt = this->limitRoomAt(open); !roomAt) {
+    finding.outcome = GangOutcome::OverLimit;
+  } else if (round.reservingGangs < MaxReservingGangs && waiting.size() == open.step->count) {
+    ++round.reservingGangs;
+    finding = this->reserveForGang(open, *roomAt);
+  }
+  this->gangDecisions.note(open, round.position++, finding, this->now);
+}
+
+bool Dispatcher::State::planWithin(ShareBound bound, const OpenStep &open, PlanRound &round) {
+  if (open.step->gang && !round.isGangRound)
+    return true;
+  const auto waiting = static_cast<std::uint32_t>(open.waiting.size());
+  const std::uint32_t places =
+      this->ledger.placesWithin(bound, open.workspace, demandOf(*open.step), waiting);
+  if (places == 0)
+    return false;
+  if (open.step->gang) {
+    this->planGang(open, round);
+    return true;
+  }
+  // If fewer are placed, there is no room for the others either.
+  return this->planTasks(open, places, round.command) < places || places == waiting;
+}
+
+void Dispatcher::State::planTier(std::span<const OpenStep *const> steps, PlanRound &round) {
+  struct Pass {
+    ShareBound bound;
+    bool urgentOnly;
+  };
+  static constexpr std::array<Pass, 4> Passes = {{{ShareBound::Weighted, true},
+                                                  {ShareBound::Weighted, false},
+                                                  {ShareBound::Filled, false},
+                                                  {ShareBound::Any, false}}};
+  std::vector<const OpenStep *> left(steps.begin(), steps.end());
+  for (const Pass &pass : Passes) {
+    std::size_t kept = 0;
+    for (const OpenStep *open : left) {
+      const bool isPassedOver = pass.urgentOnly && open->job->queue.priority > 0;
+      if (isPassedOver || !this->planWithin(pass.bound, *open, round))
+        left[kept++] = open;
+    }
+    left.resize(kept);
+  }
+}
+
+void Dispatcher::State::beginShares(const std::vector<const OpenStep *> &steps) {
+  if (this->now >= this->nextCapacity) {
+    this->nextCapacity = this->now + CapacityInterval;
+    this->capacity = {};
+    for (const auto &[id, session] : this->sessions) {
+      if (this->mayGetTasks(session, this->now))
+        this->capacity = this->capacity + session.worker->profile.capacity;
+    }
+  }
+  this->ledger.beginRound(this->capacity);
+  for (const OpenStep *open : steps) {
+    const base::Resources demand = demandOf(*open->step);
+    const auto tasks = static_cast<std::int64_t>(open->waiting.size());
+    this->ledger.want(open->workspace, demand * tasks);
+    const bool isHeld = open->step->gang
+                            ? !this->ledger.mayPlaceGang(open->workspace, demand * tasks)
+                            : this->ledger.placesFor(open->workspace, demand, 1) == 0;
+    if (isHeld)
+      this->ledger.noteHeld(open->workspace, open->waiting.size());
+  }
+  // Proposed runs count as used.
+  for (const auto &[step, runs] : this->pending) {
+    for (const auto &[task, run] : runs)
+      this->ledger.want(run.workspace, run.demand * -1);
+  }
+  this->ledger.computeShares();
 }
 
 void Dispatcher::State::plan() {
-  PlaceRuns command;
-  command.term = this->options.term;
+  PlanRound round;
+  round.command.term = this->options.term;
   this->byFreeProcessors.clear();
-  const bool isGangRound = this->beginGangRound();
-  std::size_t reservingGangs = 0;
-  std::size_t position = 0;
-  for (const OpenStep *open : this->queue.ordered(this->now)) {
-    if (open->step->gang && !isGangRound)
-      continue;
-    const std::vector<std::uint32_t> waitingTasks = this->waitingTasks(*open);
-    if (waitingTasks.empty())
-      continue;
-    if (!open->step->gang) {
-      this->planTasks(*open, waitingTasks, command);
-      continue;
-    }
-    GangFinding finding;
-    if (this->placeGang(*open, waitingTasks, command)) {
-      finding.outcome = GangOutcome::Placed;
-    } else if (reservingGangs < MaxReservingGangs && waitingTasks.size() == open->step->count) {
-      ++reservingGangs;
-      finding = this->reserveForGang(*open);
+  round.isGangRound = this->beginGangRound();
+  const std::vector<const OpenStep *> ordered = this->queue.ordered(this->now);
+  if (this->ledger.hasWorkspaces()) {
+    this->beginShares(ordered);
+    for (std::size_t begin = 0, end = 0; begin < ordered.size(); begin = end) {
+      const std::uint32_t tier = ordered[begin]->tierAt(this->now);
+      while (end < ordered.size() && ordered[end]->tierAt(this->now) == tier)
+        ++end;
+      this->planTier(std::span(ordered).subspan(begin, end - begin), round);
     }
-    this->gangDecisions.note(*open, position++, finding, this->now);
+    this->ledger.finishRound(this->now);
+  } else {
+    for (const OpenStep *open : ordered)
+      this->planWithin(ShareBound::Any, *open, round);
   }
-  if (!command.runs.empty())
-    this->actions.emplace_back(Command(std::move(command)));
+  if (!round.command.runs.empty())
+    this->actions.emplace_back(Command(std::move(round.command)));
 }
 
 } // namespace banyanrill::jobs
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -1,6 +1,7 @@
 #include "StepQueue.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace banyanrill::jobs {
 
@@ -31,6 +32,20 @@
 /// The last of many parallel tasks ends this much later than estimated, in parts of the estimate.
 constexpr double TailShare = 0.5;
 
+/// Returns how many rounds the tasks need if the workspace may run only so many of them at once.
+std::int64_t roundsOf(const Step &step, std::size_t tasks, const base::Resources &limit) {
+  const base::Resources demand = demandOf(step);
+  std::int64_t atOnce = INT32_MAX;
+  const auto narrow = [&atOnce](std::int64_t allowed, std::int64_t each) {
+    if (allowed > 0 && each > 0)
+      atOnce = std::min(atOnce, std::max<std::int64_t>(allowed / each, 1));
+  };
+  narrow(limit.millicores, demand.millicores);
+  narrow(limit.memoryMib, demand.memoryMib);
+  narrow(limit.accelerators, demand.accelerators);
+  return (static_cast<std::int64_t>(tasks) + atOnce - 1) / atOnce;
+}
+
 /// What is left of a job's critical path when this step starts.
 base::Duration remainingTime(const Job &job, std::uint32_t step) {
   const auto chainMs = static_cast<double>(criticalPathFrom(job.spec, step));
@@ -98,15 +113,25 @@
       std::vector<std::uint32_t> waiting = waitingTasks(*job, occurrence, index);
       if (waiting.empty())
         continue;
-      OpenStep open = this->describe({id, number, index}, *job);
-      open.waiting = std::move(waiting);
+      OpenStep open = this->describe({id, number, index}, *job, std::move(waiting));
       this->steps.emplace(open.key, std::move(open));
     }
   }
 }
 
-OpenStep StepQueue::describe(const StepKey &key, const Job &job) const {
+std::vector<std::string> StepQueue::jobs() const {
+  std::vector<std::string> ids;
+  ids.reserve(this->acceptedAt.size());
+  for (const auto &[id, accepted] : this->acceptedAt)
+    ids.push_back(id);
+  return ids;
+}
+
+OpenStep StepQueue::describe(const StepKey &key, const Job &job,
+                             std::vector<std::uint32_t> waiting) const {
   OpenStep open;
+  open.waiting = std::move(waiting);
+  open.workspace = this->ledger.numberOf(job.workspace);
   open.key = key;
   open.job = &job;
   open.step = &job.spec.steps[key.step];
@@ -117,7 +142,8 @@
         milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
   open.due = due;
   const std::int64_t aim = targetDurationMs(job);
-  const base::Duration chain = remainingTime(job, key.step);
+  const base::Duration chain =
+      remainingTime(job, key.step) + this->timeOfFurtherRounds(open, job);
   open.latestStart = due + milliseconds(aim) - chain;
   open.latestUsefulStart = due + milliseconds(aim * NoValueFactor) - chain;
   if (open.step->longRunning) {
@@ -128,6 +154,28 @@
   return open;
 }
 
+base::Duration StepQueue::timeOfFurtherRounds(const OpenStep &open, const Job &job) const {
+  const base::Resources &limit = this->ledger.limitOf(open.workspace);
+  if (limit == base::Resources())
+    return {};
+  const auto further = [&](const Step &step, std::size_t tasks) {
+    return step.gang ? 0 : step.estimatedMs * (roundsOf(step, tasks, limit) - 1);
+  };
+  // The longest chain with rounds, less the longest without.
+  const std::function<std::int64_t(std::uint32_t)> chainFrom = [&](std::uint32_t index) {
+    std::int64_t longest = 0;
+    for (std::uint32_t later = index + 1; later < job.spec.steps.size(); ++later) {
+      const std::vector<std::uint32_t> &after = job.spec.steps[later].after;
+      if (std::find(after.begin(), after.end(), index) != after.end())
+        longest = std::max(longest, chainFrom(later));
+    }
+    const Step &step = job.spec.steps[index];
+    const std::size_t tasks = index == open.key.step ? open.waiting.size() : step.count;
+    return step.estimatedMs + further(step, tasks) + longest;
+  };
+  return milliseconds(chainFrom(open.key.step) - criticalPathFrom(job.spec, open.key.step));
+}
+
 std::vector<const OpenStep *> StepQueue::ordered(base::TimePoint now) const {
   std::vector<const OpenStep *> result;
   result.reserve(this->steps.size());
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanrill/base/Time.h"
+#include "banyanrill/jobs/ShareLedger.h"
 #include "banyanrill/jobs/Table.h"
 
 #include <map>
@@ -19,6 +20,7 @@
   base::TimePoint latestStart;        ///< After this the job misses its aim.
   base::TimePoint latestUsefulStart;  ///< After this its end is worth nothing any more.
   std::vector<std::uint32_t> waiting; ///< Indices of the tasks that are not placed.
+  WorkspaceNumber workspace = 0;
 
   /// 0: can still meet its aim; 1: late; 2: worth nothing any more. Durations of the most urgent
   /// queue's short tasks are known too roughly to call one late, and it costs little to start.
@@ -32,7 +34,9 @@
 /// Not thread-safe. Pointers in its results are valid until the table changes.
 class StepQueue {
 public:
-  explicit StepQueue(const Table &jobTable) : table(jobTable) {}
+  /// Precondition: both outlive the queue.
+  StepQueue(const Table &jobTable, ShareLedger &shareLedger)
+      : table(jobTable), ledger(shareLedger) {}
 
   /// Looks at a job again after it changed.
   void refresh(const std::string &job, base::TimePoint now, std::int64_t wallClockMs);
@@ -45,10 +49,18 @@
 
   std::size_t size() const { return this->steps.size(); }
 
+  /// The active jobs.
+  std::vector<std::string> jobs() const;
+
 private:
-  OpenStep describe(const StepKey &key, const Job &job) const;
+  OpenStep describe(const StepKey &key, const Job &job, std::vector<std::uint32_t> waiting) const;
+
+  /// How much longer the steps from this one on take because their workspace may not run all tasks
+  /// of a step at once.
+  base::Duration timeOfFurtherRounds(const OpenStep &open, const Job &job) const;
 
   const Table &table;
+  ShareLedger &ledger;
   std::map<StepKey, OpenStep> steps;
   std::map<std::string, base::TimePoint> acceptedAt; ///< On this machine's steady clock.
 };
--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -1,5 +1,7 @@
 #include "banyanrill/jobs/Table.h"
 
+#include "banyanrill/jobs/ShareLedger.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -157,6 +159,7 @@
     ++progress->placements;
     job->second.started = true;
     worker->second.placements[placed.run.task] = {placed.run.run, command.term, false};
+    noteOccupancy(job->second, placed.run.task, true, effect);
     effect.placed.push_back(placed);
     effect.changedJobs.insert(placed.run.task.job);
     effect.changedWorkers.insert(placed.worker);
@@ -193,6 +196,7 @@
   if (progress == nullptr)
     return;
   --progress->placements;
+  noteOccupancy(job, end.run.task, false, effect);
   Task &task = progress->tasks[end.run.task.index];
   if (job.phase != JobPhase::Active || task.phase != TaskPhase::Placed ||
       task.lastRun != end.run.run)
@@ -286,6 +290,7 @@
   if (progress == nullptr)
     return;
   --progress->placements;
+  noteOccupancy(job, run.task, false, effect);
   Task &task = progress->tasks[run.task.index];
   if (task.phase != TaskPhase::Placed || task.lastRun != run.run)
     return;
@@ -375,8 +380,32 @@
 
 void Table::applyOne(const ForgetJobs &command, Effect &effect) {
   for (const std::string &id : command.jobs) {
-    if (this->content.jobs.erase(id) != 0)
-      effect.changedJobs.insert(id);
+    const auto found = this->content.jobs.find(id);
+    if (found == this->content.jobs.end())
+      continue;
+    this->noteForgotten(found->second, effect);
+    this->content.jobs.erase(found);
+    effect.changedJobs.insert(id);
+  }
+}
+
+void Table::noteOccupancy(const Job &job, const TaskKey &task, bool isAdded, Effect &effect) {
+  effect.occupancy.push_back({job.workspace, demandOf(job.spec.steps[task.step]), isAdded});
+}
+
+void Table::noteForgotten(const Job &job, Effect &effect) const {
+  for (const auto &[number, occurrence] : job.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const StepProgress &progress = occurrence.steps[step];
+      if (progress.placements == 0)
+        continue;
+      for (std::uint32_t index = 0; index < progress.tasks.size(); ++index) {
+        const TaskKey key{job.spec.id, number, step, index};
+        const Worker *worker = this->findWorker(progress.tasks[index].worker);
+        if (worker != nullptr && worker->placements.count(key) != 0)
+          noteOccupancy(job, key, false, effect);
+      }
+    }
   }
 }
 
--- a/packages/jobs/src/WorkerOrders.cpp
+++ b/packages/jobs/src/WorkerOrders.cpp
@@ -30,6 +30,10 @@
 /// Maximum number of start orders for one run; after them it is stopped.
 constexpr std::uint32_t MaxStarts = 3;
 
+/// A start that was not answered and is not listed by then is stopped while its workspace is over a
+/// lowered limit. A worker is asked for its runs every second.
+constexpr base::Duration UnlistedStartTime = std::chrono::seconds(3);
+
 /// A gang is abandoned if a member has not started within gangTimeout divided by this, so that the
 /// stop orders reach the other members before they time out.
 constexpr int GangTimeoutDivisor = 3;
@@ -238,6 +242,19 @@
   this->examineGang(run.task);
 }
 
+bool Dispatcher::State::isWithheld(const RunKey &run, RunStatus &view) {
+  if (!this->ledger.hasWorkspaces())
+    return false;
+  const Job *job = this->table.findJob(run.task.job);
+  if (job == nullptr || !this->ledger.isOverLoweredLimit(this->workspaceOf(*job)))
+    return false;
+  // A run whose order was not answered may be there: the next answers list it. A stop before that
+  // could end running work.
+  if (view.startsSent == 0 || this->now - view.placedAt > UnlistedStartTime)
+    view.stopWanted = true;
+  return true;
+}
+
 void Dispatcher::State::advanceWorker(const Worker &worker, WorkerSession &session) {
   // What it started now would be released when the removal is committed.
   if (session.removalProposedAt && this->now - *session.removalProposedAt < IdleSilence)
@@ -328,6 +345,11 @@
     this->dirtyWorkers.insert(session.incarnation.id);
     return;
   }
+  if (this->isWithheld(run, view)) {
+    if (view.stopWanted)
+      this->dirtyWorkers.insert(session.incarnation.id);
+    return;
+  }
   // Its task may be about to end: an earlier run's success is listed, but not yet recorded.
   if (this->proposedSuccesses.count(task) != 0)
     return;
--- a/packages/jobs/src/WorkerSession.h
+++ b/packages/jobs/src/WorkerSession.h
@@ -4,6 +4,7 @@
 
 #include "banyanrill/base/Time.h"
 #include "banyanrill/jobs/Orders.h"
+#include "banyanrill/jobs/ShareLedger.h"
 
 #include <deque>
 #include <optional>
@@ -20,6 +21,7 @@
   bool bestEffort = false;
   bool latencySensitive = false;
   bool longRunning = false;
+  WorkspaceNumber workspace = 0;
 };
 
 /// Evidence about one placement. A run that was ordered may be there, or appear seconds later,
@@ -74,6 +76,7 @@
 struct ExpectedEnd {
   base::TimePoint at;
   base::Resources demand;
+  WorkspaceNumber workspace = 0;
 };
 
 /// Room that gangs collect on one worker until all their members fit at the same time.
--- a/packages/jobs/tests/DispatcherPropertyTest.cpp
+++ b/packages/jobs/tests/DispatcherPropertyTest.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 
 using namespace banyanrill;
 using namespace banyanrill::jobs;
@@ -17,10 +18,20 @@
   bool cutsAfterRestart = false; ///< Workers restart under their identifiers and are cut off soon.
   bool longTasks = false;        ///< Some tasks last longer than a lease.
   int settleSeconds = 90;        ///< For the jobs to end after the faults are repaired.
+  bool workspaces = false;       ///< Jobs of two workspaces with limits, which change.
 };
 
 constexpr FaultModel AnyFaults;
 constexpr FaultModel RestartFaults{true, true, 240};
+constexpr FaultModel WorkspaceFaults{true, true, 400, true};
+
+/// The widest gang of `randomJob`, with the tolerance, fits into the lower one.
+constexpr std::int64_t LowLimit = 30000;
+constexpr std::int64_t HighLimit = 40000;
+
+std::vector<Workspace> workspacesWith(std::int64_t limit) {
+  return {{"large", {"a"}, 3, {limit, 0, 0}}, {"small", {"b"}, 1, {limit, 0, 0}}};
+}
 
 JobSpec randomJob(const std::string &id, base::RandomSource &random, const FaultModel &model) {
   JobSpec spec = makeJob(id, 1 + static_cast<std::uint32_t>(random.below(8)),
@@ -82,13 +93,24 @@
   options.lostShare = choice.below(2) == 0 ? 0 : 0.2 * choice.unit();
   options.failShare = choice.below(2) == 0 ? 0 : 0.2 * choice.unit();
   options.advice = choice.below(2) == 0;
+  options.checkUse = true;
+  if (model.workspaces)
+    options.workspaces = workspacesWith(LowLimit);
   FakeCell cell(options);
   cell.run(2500);
   for (int round = 0; round < 25; ++round) {
-    for (int number = 0; number < 2; ++number)
-      cell.submit(randomJob("j" + std::to_string(round) + "-" + std::to_string(number),
-                            cell.random(), model),
-                  static_cast<std::uint32_t>(cell.random().below(3)));
+    for (int number = 0; number < 2; ++number) {
+      JobSpec spec = randomJob("j" + std::to_string(round) + "-" + std::to_string(number),
+                               cell.random(), model);
+      const auto priority = static_cast<std::uint32_t>(cell.random().below(3));
+      if (model.workspaces)
+        cell.submitFor(std::array{"large", "small", ""}.at(cell.random().below(3)),
+                       std::move(spec), priority);
+      else
+        cell.submit(std::move(spec), priority);
+    }
+    if (model.workspaces && cell.random().below(6) == 0)
+      cell.configure(workspacesWith(cell.random().below(2) == 0 ? LowLimit : HighLimit));
     if (cell.random().below(3) == 0)
       injectFault(cell, options.workers, model);
     if (cell.random().below(6) == 0)
@@ -133,6 +155,11 @@
   checkRandomHistories("under random faults", AnyFaults);
 }
 
+/// Also checks that the use of each workspace equals the sum over the table after each event.
+TEST(DispatcherProperty, NoWorkspacePassesItsLimit) {
+  checkRandomHistories("with workspaces under random faults", WorkspaceFaults);
+}
+
 TEST(DispatcherProperty, NothingRunsTwiceOnWorkersCutOffAfterTheirRestart) {
   checkRandomHistories("under restarts and cuts", RestartFaults);
 }
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -61,6 +61,8 @@
   configuration.version = 1;
   configuration.services = {"service"};
   configuration.queues = {testQueue(this->options.advice)};
+  configuration.workspaces = this->options.workspaces;
+  this->noteLimits(configuration);
   this->table.apply({EpochMs, {PutConfiguration{configuration}}});
   RunObserver observer;
   observer.started = [this](const std::string &worker, const RunKey &run) {
@@ -122,6 +124,7 @@
   for (std::size_t number = 1; number <= this->options.advisers; ++number)
     advisers.push_back(static_cast<base::DaemonId>(number));
   this->dispatcher->setAdvisoryDaemons(advisers);
+  this->checkUse();
 }
 
 void FakeCell::submit(JobSpec spec, std::uint32_t priority) {
@@ -130,8 +133,43 @@
   this->submit(std::move(spec), std::move(queue));
 }
 
-void FakeCell::submit(JobSpec spec, Queue queue) {
-  this->log.emplace_back(this->nowMs + CommitMs, AcceptJob{std::move(spec), std::move(queue), {}});
+void FakeCell::submit(JobSpec spec, Queue queue, const std::string &workspace) {
+  this->log.emplace_back(this->nowMs + CommitMs,
+                         AcceptJob{std::move(spec), std::move(queue), workspace});
+}
+
+void FakeCell::submitFor(const std::string &workspace, JobSpec spec, std::uint32_t priority) {
+  Queue queue = testQueue(this->options.advice);
+  queue.priority = priority;
+  this->submit(std::move(spec), std::move(queue), workspace);
+}
+
+void FakeCell::configure(std::vector<Workspace> workspaces) {
+  Configuration configuration = *this->table.state().configuration;
+  configuration.version = ++this->lastVersion;
+  configuration.workspaces = std::move(workspaces);
+  this->noteLimits(configuration);
+  this->log.emplace_back(this->nowMs + CommitMs, PutConfiguration{std::move(configuration)});
+}
+
+void FakeCell::noteLimits(const Configuration &configuration) {
+  if (!configuration.workspaces)
+    return;
+  for (const Workspace &workspace : *configuration.workspaces) {
+    base::Resources &highest = this->highestLimits[workspace.name];
+    highest.millicores = std::max(highest.millicores, workspace.limit.millicores);
+    highest.memoryMib = std::max(highest.memoryMib, workspace.limit.memoryMib);
+  }
+}
+
+base::Resources FakeCell::peakOf(const std::string &workspace) const {
+  const auto found = this->peaks.find(workspace);
+  return found == this->peaks.end() ? base::Resources() : found->second;
+}
+
+base::Resources FakeCell::runningOf(const std::string &workspace) const {
+  const auto found = this->runningFor.find(workspace);
+  return found == this->runningFor.end() ? base::Resources() : found->second;
 }
 
 void FakeCell::cancel(const std::string &job) {
@@ -226,6 +264,7 @@
   const Effect effect = this->table.apply(batch);
   this->trackSuccesses(effect);
   this->timed([&] { this->dispatcher->onApplied(batch, effect, this->clock()); });
+  this->checkUse();
 }
 
 void FakeCell::trackSuccesses(const Effect &effect) {
@@ -251,6 +290,7 @@
   this->commitDueCommands();
   std::vector<Action> actions = this->timed(
       [this] { return this->dispatcher->takeActions(this->clock(), this->nowMs + EpochMs); });
+  this->checkUse();
   for (Action &action : actions)
     this->execute(action);
 }
@@ -409,10 +449,40 @@
     this->violations.push_back("started after an acknowledged success: " + name);
   this->starts.push_back({name, seen.failed});
   seen.running.insert(worker);
-  this->runningOn[worker].insert(run.task);
+  if (this->runningOn[worker].insert(run.task).second) {
+    const Job &job = *this->table.findJob(run.task.job);
+    this->checkLimit(job, demandOf(job.spec.steps[run.task.step]));
+  }
   this->checkCapacity(worker);
 }
 
+void FakeCell::checkLimit(const Job &job, const base::Resources &demand) {
+  base::Resources &running = this->runningFor[job.workspace];
+  running = running + demand;
+  base::Resources &peak = this->peaks[job.workspace];
+  peak.millicores = std::max(peak.millicores, running.millicores);
+  peak.memoryMib = std::max(peak.memoryMib, running.memoryMib);
+  const auto limit = this->highestLimits.find(job.workspace);
+  if (limit == this->highestLimits.end())
+    return;
+  const auto isOver = [](std::int64_t amount, std::int64_t allowed, std::int64_t ofTask) {
+    constexpr double Tolerance = 0.1;
+    return allowed > 0 && static_cast<double>(amount) >
+                              static_cast<double>(allowed) * (1 + Tolerance) +
+                                  static_cast<double>(ofTask);
+  };
+  if (isOver(running.millicores, limit->second.millicores, demand.millicores) ||
+      isOver(running.memoryMib, limit->second.memoryMib, demand.memoryMib))
+    this->violations.push_back("limit exceeded by workspace " + job.workspace + " at " +
+                               std::to_string(this->nowMs));
+}
+
+void FakeCell::checkUse() {
+  if (this->options.checkUse && !this->dispatcher->isUseConsistent())
+    this->violations.push_back("use of workspaces differs from the table at " +
+                               std::to_string(this->nowMs));
+}
+
 void FakeCell::checkCapacity(const std::string &worker) {
   base::Resources used;
   for (const TaskKey &task : this->runningOn[worker])
@@ -424,7 +494,11 @@
 void FakeCell::onEnded(const std::string &worker, const RunKey &run, EndKind how) {
   TaskHistory &seen = this->tasks[run.task];
   seen.running.erase(worker);
-  this->runningOn[worker].erase(run.task);
+  const Job *job = this->table.findJob(run.task.job);
+  if (this->runningOn[worker].erase(run.task) != 0 && job != nullptr) {
+    base::Resources &running = this->runningFor[job->workspace];
+    running = running - demandOf(job->spec.steps[run.task.step]);
+  }
   if (how == EndKind::Failed)
     seen.failed.insert(run);
 }
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -26,6 +26,9 @@
   double permittedShare = 1;
   std::map<std::string, double> permittedShares; ///< By queue, in place of the share above.
   base::Resources capacity = {8000, 8000, 0};    ///< Of each worker.
+  std::optional<std::vector<Workspace>> workspaces; ///< Of the first configuration.
+  /// Compares the dispatcher's use of each workspace with the table after each event.
+  bool checkUse = false;
 };
 
 /// Not thread-safe.
@@ -34,7 +37,11 @@
   explicit FakeCell(CellOptions cellOptions);
 
   void submit(JobSpec spec, std::uint32_t priority = 0);
-  void submit(JobSpec spec, Queue queue);
+  void submit(JobSpec spec, Queue queue, const std::string &workspace = {});
+  /// Submits to the queue of the cell.
+  void submitFor(const std::string &workspace, JobSpec spec, std::uint32_t priority = 0);
+  /// Proposes a configuration with these workspaces.
+  void configure(std::vector<Workspace> workspaces);
   void cancel(const std::string &job);
   void changeLeader();
   void cut(std::size_t worker, bool isCut);
@@ -59,6 +66,12 @@
   DispatcherCounters counters() const { return this->dispatcher->counters(); }
   CellLoad load() const { return this->dispatcher->load(this->clock()); }
   std::vector<GangDecision> takeGangDecisions() { return this->dispatcher->takeGangDecisions(); }
+  std::vector<LimitDecision> takeLimitDecisions() { return this->dispatcher->takeLimitDecisions(); }
+  std::vector<WorkspaceLoad> workspaceLoads() const { return this->dispatcher->workspaceLoads(); }
+  /// Returns the most that a workspace has had running at the same time.
+  base::Resources peakOf(const std::string &workspace) const;
+  /// Returns what a workspace has running now.
+  base::Resources runningOf(const std::string &workspace) const;
   std::uint64_t waiting() const { return this->dispatcher->waitingIn("queue"); }
   /// Returns the time that the dispatcher itself has used.
   std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
@@ -107,6 +120,10 @@
   void onEnded(const std::string &worker, const RunKey &run, EndKind how);
   void onSuccessAcknowledged(const RunKey &run);
   void checkCapacity(const std::string &worker);
+  /// No start may bring what runs over the limit with its tolerance by more than one task.
+  void checkLimit(const Job &job, const base::Resources &demand);
+  void checkUse();
+  void noteLimits(const Configuration &configuration);
   void trackRecordedFailures(const Command &command);
   void trackSuccesses(const Effect &effect);
   base::TimePoint clock() const;
@@ -116,6 +133,7 @@
   std::int64_t nowMs = 0;
   std::multimap<std::int64_t, std::function<void()>> events;
   Table table;
+  std::uint64_t lastVersion = 1;
   std::uint64_t term = 0;
   std::unique_ptr<Dispatcher> dispatcher;
   std::deque<std::pair<std::int64_t, Command>>
@@ -126,6 +144,9 @@
   std::chrono::nanoseconds spent{0};
   std::map<TaskKey, TaskHistory> tasks;
   std::map<std::string, std::set<TaskKey>> runningOn;
+  std::map<std::string, base::Resources> runningFor; ///< By workspace.
+  std::map<std::string, base::Resources> peaks;      ///< The same.
+  std::map<std::string, base::Resources> highestLimits; ///< Of all configurations so far.
   std::int64_t nextReportMs = 0;
   bool isHealed = false; ///< Faults that are still to come are left out.
   std::uint64_t droppedStarts = 0;
--- a/packages/jobs/tests/ManualCell.h
+++ b/packages/jobs/tests/ManualCell.h
@@ -58,6 +58,30 @@
     return orders;
   }
 
+  /// Returns the proposed commands without committing them. Expects no orders that matter.
+  std::vector<Command> proposals(std::int64_t milliseconds) {
+    this->now += std::chrono::milliseconds(milliseconds);
+    std::vector<Command> commands;
+    for (Action &action : this->dispatcher->takeActions(this->now, EpochMs)) {
+      if (auto *command = std::get_if<Command>(&action))
+        commands.push_back(std::move(*command));
+    }
+    return commands;
+  }
+
+  /// Answers the worker's first lease renewal, so that it may get tasks.
+  void answerRenewals() {
+    for (const Action &action : this->dispatcher->takeActions(this->now, EpochMs)) {
+      const auto *renewal = std::get_if<RenewLeaseOrder>(&action);
+      if (renewal == nullptr)
+        continue;
+      RenewLeaseAnswer answer;
+      answer.outcome = OrderOutcome::Accepted;
+      answer.clockMs = 1000;
+      this->dispatcher->onRenewLeaseAnswer(renewal->id, answer, this->now);
+    }
+  }
+
   template <typename Order> const Order *find(const std::vector<Action> &orders) const {
     for (const Action &order : orders) {
       if (const auto *typed = std::get_if<Order>(&order))
--- a/packages/jobs/tests/OverloadTest.cpp
+++ b/packages/jobs/tests/OverloadTest.cpp
@@ -39,7 +39,8 @@
 /// A burst of less urgent work that has waited long must not delay fresh urgent work.
 TEST(Overload, UrgentWorkComesBeforeAnAgedBacklog) {
   Table table;
-  StepQueue steps(table);
+  ShareLedger ledger{0};
+  StepQueue steps(table, ledger);
   accept(table, steps, "backlog", queueOf(2, 1, 5000), 0);   // Must start at 5 s.
   accept(table, steps, "urgent", queueOf(0, 1, 1000), 4500); // Must start at 5.5 s.
   STRCMP_EQUAL("urgent", firstAt(steps, 4500).c_str());
@@ -48,7 +49,8 @@
 /// Less urgent work gets its turn by its age, however much urgent work there is.
 TEST(Overload, LessUrgentWorkIsNotBehindForGood) {
   Table table;
-  StepQueue steps(table);
+  ShareLedger ledger{0};
+  StepQueue steps(table, ledger);
   accept(table, steps, "backlog", queueOf(2, 1, 5000), 0);    // Must start at 5 s.
   accept(table, steps, "urgent", queueOf(0, 1, 20000), 4500); // Must start at 24.5 s.
   STRCMP_EQUAL("backlog", firstAt(steps, 4500).c_str());
@@ -59,7 +61,8 @@
 TEST(Overload, StepThatMissesItsTargetByItsLastTaskComesAfterFreshWork) {
   constexpr std::uint32_t Tasks = 50;
   Table table;
-  StepQueue steps(table);
+  ShareLedger ledger{0};
+  StepQueue steps(table, ledger);
   const Queue queue = queueOf(1, 2, 0);
   accept(table, steps, "late", queue, 0, Tasks); // Its estimate says that it may start until 1 s.
   accept(table, steps, "fresh", queue, 700, Tasks);
@@ -71,7 +74,8 @@
 /// was late before it had them, and behind all others from then on.
 TEST(Overload, WideGangCollectsBeforeANarrowOneOfItsAge) {
   Table table;
-  StepQueue steps(table);
+  ShareLedger ledger{0};
+  StepQueue steps(table, ledger);
   const auto acceptGang = [&](const std::string &id, std::uint32_t members, std::int64_t timeMs) {
     JobSpec spec = makeJob(id, members, 1000, 5000);
     spec.steps[0].gang = true;
