--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -57,6 +57,21 @@
 
 TEST_GROUP(Table) { TableFixture cell; };
 
+TEST(Table, JobKeepsItsWorkspaceWhenThatIsGone) {
+  Configuration configuration = configurationOf(1, "/q/");
+  configuration.workspaces = {{"a", {"k"}, 1, {}}};
+  this->cell.apply(PutConfiguration{configuration});
+  JobSpec spec;
+  spec.id = "j";
+  this->cell.apply(AcceptJob{spec, configuration.queues[0], "a"});
+  configuration.version = 2;
+  configuration.queues[0].isPublic = true;
+  configuration.workspaces.reset();
+  this->cell.apply(PutConfiguration{configuration});
+  CHECK(this->cell.table.findJob("j")->queue.isPublic);
+  CHECK_EQUAL(std::string("a"), this->cell.table.findJob("j")->workspace);
+}
+
 TEST(Table, OlderOrEqualConfigurationChangesNothing) {
   this->cell.apply(PutConfiguration{configurationOf(5, "/new/")});
   this->cell.apply(PutConfiguration{configurationOf(4, "/old/")});
--- a/packages/wire/tests/PeerCodecTest.cpp
+++ b/packages/wire/tests/PeerCodecTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 jobs::SubmitRequest submission() {
-  jobs::SubmitRequest request{"host", "/q/1", {}};
+  jobs::SubmitRequest request{"host", "/q/1", {}, "key"};
   jobs::Step step;
   step.count = 3;
   step.demand = {100, 200, 1};
