--- a/packages/http/src/HeaderReader.cpp
+++ b/packages/http/src/HeaderReader.cpp
@@ -14,6 +14,20 @@
   return value;
 }
 
+/// Adds each occurrence of a header by itself. Others are joined with commas, which would make one
+/// credential out of two.
+void addEach(Headers &headers, const std::string &name, lws *wsi, lws_token_indexes token,
+             int totalLength) {
+  for (int index = 0;; ++index) {
+    std::string value(static_cast<std::size_t>(totalLength) + 1, '\0');
+    const int copied = lws_hdr_copy_fragment(wsi, value.data(), totalLength + 1, token, index);
+    if (copied < 0)
+      return;
+    value.resize(static_cast<std::size_t>(copied));
+    headers.emplace_back(name, std::move(value));
+  }
+}
+
 /// libwebsockets splits the query at '&' and decodes the parts; they are encoded again so that a
 /// decoded '&' or '%' does not change the meaning of the joined text.
 std::string readQuery(lws *wsi) {
@@ -55,7 +69,10 @@
     if (name.size() < 2 || name.back() != ':' || name.front() == ':')
       continue;
     name.remove_suffix(1);
-    headers.emplace_back(name, copyToken(wsi, token, length));
+    if (token == WSI_TOKEN_HTTP_AUTHORIZATION)
+      addEach(headers, std::string(name), wsi, token, length);
+    else
+      headers.emplace_back(name, copyToken(wsi, token, length));
   }
   for (const std::string &name : customHeaders) {
     const std::string key = name + ':';
--- a/packages/http/tests/MalformedRequestTest.cpp
+++ b/packages/http/tests/MalformedRequestTest.cpp
@@ -93,6 +93,19 @@
       "GET / HTTP/1.1\r\nHost: h\r\nAuthorization: " + std::string(20000, 'x') + "\r\n\r\n", "431");
 }
 
+/// Two credentials must not be joined into one, nor one of them be dropped.
+TEST(MalformedRequest, RepeatedCredentialsStayApart) {
+  for (const char *first : {"Bearer a", ""}) {
+    const std::string answer = this->answerTo(
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nAuthorization: " + std::string(first) +
+        "\r\nAuthorization: Bearer b\r\n\r\n\"}\"}");
+    const std::size_t one = answer.find("authorization:");
+    CHECK_TEXT(one != std::string::npos, answer.c_str());
+    CHECK_TEXT(answer.find("authorization:", one + 1) != std::string::npos, answer.c_str());
+    CHECK_TEXT(answer.find(',') == std::string::npos, answer.c_str());
+  }
+}
+
 TEST(MalformedRequest, UpgradeIsNotAccepted) {
   STRCMP_EQUAL("", this->answerTo("GET /chat HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
                                   "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
--- a/packages/node/include/banyanrill/node/Options.h
+++ b/packages/node/include/banyanrill/node/Options.h
@@ -30,6 +30,19 @@
   base::Duration drainTime = std::chrono::milliseconds(4500); ///< From SIGTERM to the exit.
   base::Duration maxLease = std::chrono::milliseconds(10000);
 
+  /// Whether a withdrawn key is out everywhere after `revocationTime`, also at nodes that are cut
+  /// off; without it, after `configurationTime` at nodes in touch.
+  bool strictRevocation = false;
+  base::Duration revocationTime = std::chrono::milliseconds(5000);
+  base::Duration configurationTime = std::chrono::milliseconds(3000);
+  double quotaTolerance = 0.1; ///< Share of a workspace's limit that gangs may use beyond it.
+
+  /// How old the proof of its leadership may be when a leader answers a request with a key: 0.4 of
+  /// the time allowed, since the rest has to cover the differences of the machines' clocks.
+  base::Duration authorityMaxAge() const {
+    return (this->strictRevocation ? this->revocationTime : this->configurationTime) * 2 / 5;
+  }
+
   bool operator==(const NodeOptions &) const = default;
 };
 
