Serve callers by their keys, and bound how long a former leader accepts one

Cause: requests with unknown, withdrawn and other workspaces' keys are served.

Change: the leader checks the key before anything else (401), then the owner of the job (403). A refusal needs a round that began after its request had come. What cannot be confirmed is asked again and ends with 503. A refusal after an attempt that may have run is 504. Without workspaces in the configuration nothing of this happens.

--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 59> Catalogue = {{
+constexpr std::array<EventDefinition, 61> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -90,8 +90,12 @@
     {3303, Severity::Info, "cell_load", "How full the workers are, and what waits for them."},
     {4001, Severity::Info, "setting_changed", "A change of settings was applied."},
     {4002, Severity::Info, "configuration_in_force", "A configuration is in force."},
+    {4101, Severity::Info, "key_withdrawn",
+     "A key no longer stands for its workspace; the digest tells which."},
     {5001, Severity::Info, "request_refused", "A caller's request was refused, with the verdict."},
     {5002, Severity::Info, "request_answered", "A request was answered, with its outcome."},
+    {5101, Severity::Warning, "callers_refused",
+     "The leader refused callers for their keys: why, and how many since the last line."},
     {6001, Severity::Error, "http_loop_failed", "The HTTP server could not start or failed."},
     {6002, Severity::Warning, "peer_message_rejected", "A message from a peer was not valid."},
     {6003, Severity::Error, "event_handler_failed",
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -36,8 +36,16 @@
 
 } // namespace
 
-void Node::State::answer(const jobs::Request &request, const ReplyTo &reply) {
-  std::visit([&](const auto &typed) { this->answerTyped(typed, reply); }, request);
+void Node::State::answer(const jobs::Request &request, base::TimePoint deadline,
+                         const ReplyTo &reply) {
+  std::visit(
+      [&](const auto &typed) {
+        if constexpr (CallerRequest<std::decay_t<decltype(typed)>>)
+          this->checkCaller(typed, reply, deadline);
+        else
+          this->answerTyped(typed, reply);
+      },
+      request);
 }
 
 void Node::State::proposeFor(jobs::Command command, ReplyTo reply, jobs::Reply success) {
@@ -53,7 +61,8 @@
       this->now);
 }
 
-void Node::State::answerTyped(const jobs::SubmitRequest &request, ReplyTo reply) {
+void Node::State::answerTyped(const jobs::SubmitRequest &request, const jobs::Access &access,
+                              ReplyTo reply) {
   const jobs::Table &table = this->group->table();
   if (!table.state().configuration) {
     jobs::Reply refusal = replyOf(jobs::ReplyCode::Unavailable, "there is no configuration yet");
@@ -80,10 +89,15 @@
   }
   jobs::JobSpec spec = request.spec;
   spec.id = id;
-  this->proposeFor(jobs::AcceptJob{std::move(spec), *queue, {}}, std::move(reply), {});
+  jobs::AcceptJob accept{std::move(spec), *queue, access.workspace};
+  if (access.kind == jobs::AccessKind::Unrestricted)
+    this->proposeFor(std::move(accept), std::move(reply), {});
+  else
+    this->proposeForCaller(std::move(accept), access, id, std::move(reply));
 }
 
-void Node::State::answerTyped(const jobs::StateRequest &request, const ReplyTo &reply) {
+void Node::State::answerTyped(const jobs::StateRequest &request, const jobs::Access & /*access*/,
+                              const ReplyTo &reply) {
   const jobs::Table &table = this->group->table();
   std::string id;
   const jobs::Queue *queue = table.findQueue(request.host, request.path, id);
@@ -110,7 +124,8 @@
   reply(std::move(found));
 }
 
-void Node::State::answerTyped(const jobs::CancelRequest &request, ReplyTo reply) {
+void Node::State::answerTyped(const jobs::CancelRequest &request, const jobs::Access &access,
+                              ReplyTo reply) {
   const jobs::Table &table = this->group->table();
   std::string id;
   if (table.findQueue(request.host, request.path, id) == nullptr) {
@@ -124,7 +139,10 @@
                      [] { return replyOf(jobs::ReplyCode::NoSuchJob, "the job is not known"); });
     return;
   }
-  this->proposeFor(jobs::CancelJob{id}, std::move(reply), {});
+  if (access.kind == jobs::AccessKind::Unrestricted)
+    this->proposeFor(jobs::CancelJob{id}, std::move(reply), {});
+  else
+    this->proposeForCaller(jobs::CancelJob{id}, access, {}, std::move(reply));
 }
 
 void Node::State::answerTyped(const jobs::ConfigureRequest &request, ReplyTo reply) {
@@ -214,6 +232,8 @@
   ++this->metrics.leaderships;
   this->leaderSince = this->now;
   this->pauseGuard = PauseGuard();
+  this->resetAuthority();
+  this->callerKeys(); // Logs the keys that were withdrawn since this node last led.
   jobs::DispatcherOptions dispatcherOptions;
   dispatcherOptions.term = this->group->term();
   dispatcherOptions.stopGrace = this->options.stopGrace;
@@ -234,6 +254,7 @@
 
 void Node::State::onLostLeadership() {
   this->dispatcher.reset();
+  this->resetAuthority();
   this->relays.clear();
   this->relayed.clear();
   this->peerDirectory->suspectLeader(this->peerDirectory->self().id);
@@ -260,6 +281,8 @@
                      {{"job", accepted->spec.id},
                       {"queue", accepted->queue.name},
                       {"steps", std::to_string(accepted->spec.steps.size())}});
+    } else if (std::holds_alternative<jobs::PutConfiguration>(command)) {
+      this->callerKeys();
     } else if (const auto *ends = std::get_if<jobs::RecordEnds>(&command)) {
       for (const jobs::TaskEnd &end : ends->ends)
         base::logEvent(base::Event::RunEnded, {{"job", end.run.task.job},
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -47,9 +47,16 @@
 
 std::int64_t Node::State::wallClockMs() { return clockMs(CLOCK_REALTIME); }
 
+base::Duration Node::State::sinceBoot() {
+  timespec time = {};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_nsec / 1000);
+}
+
 Node::State::State(NodeOptions nodeOptions, ProtocolAdapter protocolAdapter)
     : options(std::move(nodeOptions)), adapter(std::move(protocolAdapter)), random(randomSeed()),
-      now(base::steadyNow()), suspendedMs(totalSuspensionMs()) {}
+      now(base::steadyNow()), suspendedMs(totalSuspensionMs()),
+      callers(this->options.authorityMaxAge()) {}
 
 base::Status Node::State::start() {
   membership::PeerDirectoryOptions directoryOptions;
@@ -298,6 +305,9 @@
     }
   }
   this->sendHeartbeats();
+  if (this->group)
+    this->keepAuthority(); // Before `retryOpen`, which answers requests that still wait as in
+                           // doubt.
   this->retryOpen();
   this->expireRelayed();
   if (this->draining) {
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -2,6 +2,7 @@
 // (LeaderAnswers.cpp), orders to workers (WorkerOrders.cpp) and peers (Peers.cpp).
 #pragma once
 
+#include "CallerAuthority.h"
 #include "Group.h"
 #include "MembershipPlanner.h"
 #include "PauseGuard.h"
@@ -18,8 +19,6 @@
 
 namespace banyanrill::node {
 
-using ReplyTo = std::function<void(jobs::Reply)>;
-
 /// A caller's request that has not been answered yet.
 struct OpenRequest {
   std::uint64_t id = 0; ///< For the log.
@@ -27,8 +26,9 @@
   jobs::Request request;
   base::TimePoint received;
   base::TimePoint deadline;
-  bool mayHaveRun = false; ///< A leader may have acted on it.
-  bool inFlight = false;   ///< A leader is processing it.
+  bool mayHaveRun = false;     ///< A leader may have acted on it.
+  bool inFlight = false;       ///< A leader is processing it.
+  bool wasUnconfirmed = false; ///< The last leader that was asked could not confirm that it leads.
   std::uint32_t attempts = 0;
 };
 
@@ -110,6 +110,7 @@
   std::int64_t suspendedMs = 0; ///< Total time that the machine has been suspended.
   PauseGuard pauseGuard;
   bool confirmingLeadership = false;
+  CallerAuthority callers; ///< Used while this node leads.
   NodeMetrics metrics;
 
   base::Status start();
@@ -127,6 +128,8 @@
   bool mayGiveOrders();
   void logLeader();
   static std::int64_t wallClockMs();
+  /// Time since the machine was started, with the time in which it was suspended.
+  static base::Duration sinceBoot();
 
   // Requests of callers, workers and operators.
   void serve(http::ExchangeId exchange, ListenerKind kind, const http::Request &request);
@@ -141,10 +144,12 @@
   std::string metricsText() const;
 
   // The leader's answers.
-  void answer(const jobs::Request &request, const ReplyTo &reply);
-  void answerTyped(const jobs::SubmitRequest &request, ReplyTo reply);
-  void answerTyped(const jobs::StateRequest &request, const ReplyTo &reply);
-  void answerTyped(const jobs::CancelRequest &request, ReplyTo reply);
+  /// At `deadline` the node that sent the request no longer waits.
+  void answer(const jobs::Request &request, base::TimePoint deadline, const ReplyTo &reply);
+  void answerTyped(const jobs::SubmitRequest &request, const jobs::Access &access, ReplyTo reply);
+  void answerTyped(const jobs::StateRequest &request, const jobs::Access &access,
+                   const ReplyTo &reply);
+  void answerTyped(const jobs::CancelRequest &request, const jobs::Access &access, ReplyTo reply);
   void answerTyped(const jobs::ConfigureRequest &request, ReplyTo reply);
   void answerTyped(const jobs::ReadConfigurationRequest &request, const ReplyTo &reply);
   void answerTyped(const jobs::WorkerReport &request, ReplyTo reply);
@@ -157,6 +162,26 @@
   void onLostLeadership();
   void onApplied(const jobs::CommandBatch &batch, const jobs::Effect &effect);
 
+  // Callers' keys (CallerAuthority.cpp). Precondition of all: this node has a group.
+  const jobs::KeyTable &callerKeys();
+  /// Answers a request whose key allows it, or refuses it.
+  template <CallerRequest Request>
+  void checkCaller(const Request &request, const ReplyTo &reply, base::TimePoint deadline);
+  template <CallerRequest Request>
+  void checkKey(const Request &request, const ReplyTo &reply, CallerCheck check);
+  /// Proposes what a caller asked for. `submitted` is the identifier of a submitted job, or empty.
+  void proposeForCaller(jobs::Command command, const jobs::Access &access,
+                        const std::string &submitted, ReplyTo reply);
+  /// Calls `proceed` after a confirmation round, or with false if there is none until `latest`.
+  void awaitAuthority(base::TimePoint latest, std::function<void(bool confirmed)> proceed);
+  void beginAuthorityRound();
+  /// Ends waits that took too long, and repeats the rounds while requests with keys come.
+  void keepAuthority();
+  /// A leadership begins or ends.
+  void resetAuthority();
+  /// Counts a refusal and logs it, at most once in a while. `key` may be empty.
+  void noteRefusal(CallerRefusal kind, const std::string &key);
+
   // Orders to workers and to the advisory service.
   void execute(jobs::Action action);
   template <typename Order> void executeTyped(const Order &order) { this->sendOrder(order); }
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -55,9 +55,10 @@
     this->respondPeer(exchange, wire::ForwardedReply());
     return;
   }
-  this->answer(forwarded.request, [this, exchange, term = this->group->term()](jobs::Reply reply) {
-    this->respondPeer(exchange, wire::ForwardedReply{true, term, std::move(reply)});
-  });
+  this->answer(forwarded.request, base::TimePoint::max(),
+               [this, exchange, term = this->group->term()](jobs::Reply reply) {
+                 this->respondPeer(exchange, wire::ForwardedReply{true, term, std::move(reply)});
+               });
 }
 
 void Node::State::answerPeer(http::ExchangeId exchange, const wire::AdviceRequest &ask) {
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -20,6 +20,9 @@
 /// is suspected; the request is then retried at the same leader or a new one.
 constexpr base::Duration ForwardTimeout = std::chrono::milliseconds(600);
 
+/// A leader that cannot confirm that it leads says so within this time.
+constexpr base::Duration UnconfirmedAnswerTime = std::chrono::milliseconds(400);
+
 /// Open requests of one node; further ones are refused.
 constexpr std::size_t MaxOpenRequests = 2048;
 
@@ -57,6 +60,27 @@
          std::holds_alternative<jobs::ReadConfigurationRequest>(request);
 }
 
+bool isUnconfirmed(const wire::ForwardedReply *forwarded) {
+  return forwarded != nullptr && forwarded->isLeader &&
+         forwarded->reply.code == jobs::ReplyCode::Unconfirmed;
+}
+
+/// Whether the answer says that the request has not run and will not.
+bool promisesNotRun(const jobs::Request &request, jobs::ReplyCode code) {
+  switch (code) {
+  case jobs::ReplyCode::Unauthorized:
+  case jobs::ReplyCode::Forbidden:
+  case jobs::ReplyCode::Busy:
+  case jobs::ReplyCode::Unavailable:
+  case jobs::ReplyCode::Unconfirmed:
+    return true;
+  case jobs::ReplyCode::NoSuchQueue:
+    return std::holds_alternative<jobs::SubmitRequest>(request);
+  default:
+    return false;
+  }
+}
+
 } // namespace
 
 void Node::State::serve(http::ExchangeId exchange, ListenerKind kind,
@@ -121,11 +145,13 @@
   if (this->group && this->group->isLeader()) {
     request.inFlight = true;
     ++request.attempts;
-    this->answer(request.request, [this, id](jobs::Reply reply) {
+    this->answer(request.request, request.deadline, [this, id](jobs::Reply reply) {
       const auto found = this->open.find(id);
       if (found == this->open.end())
         return;
       found->second.inFlight = false;
+      if (reply.code == jobs::ReplyCode::Unconfirmed)
+        return; // Has not run; `retryOpen` asks again.
       if (reply.code != jobs::ReplyCode::InDoubt) {
         this->rememberReport(found->second.request, reply);
         reply.reportTo = this->peerDirectory->self().controlAddress;
@@ -151,6 +177,10 @@
       return;
     }
   }
+  // Otherwise the request would often be open at the leader when the caller's time is over, and
+  // then count as one that may have run.
+  if (request.wasUnconfirmed && request.deadline - this->now < UnconfirmedAnswerTime)
+    return;
   this->forward(request, *leader);
 }
 
@@ -185,6 +215,9 @@
                        return;
                      OpenRequest &open = found->second;
                      open.inFlight = false;
+                     open.wasUnconfirmed = isUnconfirmed(forwarded);
+                     if (open.wasUnconfirmed)
+                       return; // Has not run; `retryOpen` asks again.
                      const bool decided = forwarded != nullptr && forwarded->isLeader &&
                                           forwarded->reply.code != jobs::ReplyCode::InDoubt;
                      if (decided) {
@@ -230,6 +263,12 @@
   if (found == this->open.end())
     return;
   const OpenRequest &request = found->second;
+  // The refusal is about the last attempt; an earlier one may have reached a leader that acted.
+  if (request.mayHaveRun && !isReadOnly(request.request) &&
+      promisesNotRun(request.request, reply.code)) {
+    reply.code = jobs::ReplyCode::InDoubt;
+    reply.message = "an earlier attempt may have run; the last one: " + reply.message;
+  }
   const std::string_view name = jobs::nameOf(request.request);
   ++this->metrics.replies[std::string(name) + '/' + std::string(jobs::nameOf(reply.code))];
   this->metrics.answerTimes[std::string(name)].note(this->now - request.received);
@@ -306,6 +345,7 @@
   histograms("banyanrill_request_seconds", "request", this->metrics.answerTimes);
   histograms("banyanrill_order_seconds", "order", this->metrics.orderTimes);
   histograms("banyanrill_job_seconds", "outcome", this->metrics.jobTimes);
+  text << this->callers.metricsText();
   if (!this->dispatcher)
     return text.str();
   const jobs::DispatcherCounters leader = this->dispatcher->counters();
--- a/packages/node/tests/SimulatedCell.cpp
+++ b/packages/node/tests/SimulatedCell.cpp
@@ -127,6 +127,10 @@
       SimulatedMachine &receiver = this->machines[delivery.to];
       if (receiver.process == nullptr || (delivery.life != 0 && delivery.life != receiver.life))
         continue;
+      if (receiver.frozen) {
+        this->inTransit.emplace(this->now + TimeStep, std::move(delivery));
+        continue;
+      }
       delivery.act(*receiver.process);
       this->drain(delivery.to);
     }
@@ -136,7 +140,7 @@
 }
 
 void SimulatedCell::turn(std::size_t index) {
-  if (this->machines[index].process == nullptr)
+  if (this->machines[index].process == nullptr || this->machines[index].frozen)
     return;
   Process &process = *this->machines[index].process;
   if (process.write && process.writeDone <= this->now) {
@@ -210,6 +214,10 @@
     process.applied = output.snapshot->index;
   for (const consensus::Entry &entry : output.committed)
     this->apply(process, entry, leads);
+  for (const consensus::ReadReady &read : output.reads) {
+    if (process.applied >= read.index)
+      process.confirmedReads.insert(read.context);
+  }
   if (output.mustStore()) {
     process.writeDone = this->now + this->upTo(this->cell.maxSyncMs);
     process.write = std::move(output);
@@ -268,7 +276,8 @@
   const membership::PeerRecord *peer = from.peers->find(message.to);
   const std::optional<std::size_t> target =
       peer == nullptr ? std::nullopt : this->machineAt(peer->address);
-  if (!target)
+  const std::optional<std::size_t> sender = this->machineAt(from.peers->self().address);
+  if (!target || this->machines[*target].deaf || this->machines[sender.value()].mute)
     return;
   this->deliverLater(*target, 0, [this, message](Process &receiver) {
     if (receiver.replica != nullptr)
@@ -351,6 +360,12 @@
   this->drain(*index);
 }
 
+bool SimulatedCell::requestRead(std::size_t index, std::uint64_t context) {
+  const bool accepted = this->machines[index].process->replica->requestRead(context, this->now);
+  this->drain(index);
+  return accepted;
+}
+
 std::string SimulatedCell::describe() const {
   std::string text;
   for (std::size_t index = 0; index < this->cell.disks; ++index) {
--- a/packages/node/tests/SimulatedCell.h
+++ b/packages/node/tests/SimulatedCell.h
@@ -50,6 +50,7 @@
   consensus::Index applied = 0;
   std::set<std::string> values;                                ///< Applied commands.
   std::map<consensus::ReplicaId, std::string> memberAddresses; ///< Applied addresses of members.
+  std::set<std::uint64_t> confirmedReads; ///< Their contexts, once earlier entries are applied.
 };
 
 struct SimulatedMachine {
@@ -58,6 +59,9 @@
   std::unique_ptr<Process> process; ///< Null while the machine is down.
   base::TimePoint startsAt{};       ///< While it is down.
   std::uint64_t life = 0;           ///< Counts starts; replies to an earlier life are lost.
+  bool frozen = false; ///< Neither the process nor its disk does anything; messages wait.
+  bool mute = false;   ///< Its replica messages are lost.
+  bool deaf = false;   ///< Replica messages to it are lost.
 };
 
 /// Not thread-safe.
@@ -81,6 +85,9 @@
   /// Commands that the leader had applied when it acknowledged them.
   const std::set<std::string> &acknowledged() const { return this->acknowledgedValues; }
   std::string describe() const;
+  SimulatedMachine &machine(std::size_t index) { return this->machines[index]; }
+  /// Begins a read-index round at a machine that takes itself for the leader.
+  bool requestRead(std::size_t index, std::uint64_t context);
 
   std::uint64_t below(std::uint64_t bound) { return this->random.below(bound); }
   const CellOptions &options() const { return this->cell; }
