Refuse requests at once when no leader will answer in time

Cause: a node without a leader held every request for up to 1.5 s and refused it then, in an outage of any length, and all refused callers came back after the same second.

Change: OutagePolicy decides from the time without contact with a leader and the caller's time left. Up to 2,000 ms, which covers an election and the time until a node without a disk hears of its result, requests are held. Beyond it submissions, state requests, cancellations and workers' reports are refused at once, also those that are held, the caller whose time ends first before the others; Retry-After is spread over 2 to 4 s. What was forwarded and not answered stays in doubt (504), and a refusal after such an attempt becomes 504 as well. Readiness follows the same knowledge (2,000 instead of 2,500 ms). Replica messages count as contact, not the leader that the replica still names, and a leader that was silent for three heartbeats is suspected, so that an idle node without a disk looks for its successor.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -38,6 +38,8 @@
   LogLinesDropped = 1007,
   LeaderKnown = 1008,
   LeaderUnknown = 1009,
+  OutageBegan = 1010,
+  OutageEnded = 1011,
   BecameLeader = 2001,
   LostLeadership = 2002,
   StorageFailed = 2003,
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 59> Catalogue = {{
+constexpr std::array<EventDefinition, 61> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -27,6 +27,9 @@
     {1008, Severity::Info, "leader_known",
      "This daemon knows the leader and passes requests to it."},
     {1009, Severity::Warning, "leader_unknown", "This daemon knows no leader that answers."},
+    {1010, Severity::Warning, "outage_began",
+     "No leader was heard for longer than an election takes; requests are refused at once."},
+    {1011, Severity::Info, "outage_ended", "A leader was heard again; requests are served."},
     {2001, Severity::Info, "became_leader", "This replica was elected leader."},
     {2002, Severity::Info, "lost_leadership", "This replica is no longer the leader."},
     {2003, Severity::Error, "storage_failed",
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -49,7 +49,7 @@
 
 Node::State::State(NodeOptions nodeOptions, ProtocolAdapter protocolAdapter)
     : options(std::move(nodeOptions)), adapter(std::move(protocolAdapter)), random(randomSeed()),
-      now(base::steadyNow()), suspendedMs(totalSuspensionMs()) {}
+      now(base::steadyNow()), aloneSince(now), suspendedMs(totalSuspensionMs()) {}
 
 base::Status Node::State::start() {
   membership::PeerDirectoryOptions directoryOptions;
@@ -245,6 +245,7 @@
     base::logEvent(base::Event::MachineWasSuspended,
                    {{"ms", std::to_string(slept - this->suspendedMs)}});
     this->lastLeaderContact.reset();
+    this->aloneSince = this->now;
     if (const auto leader = this->peerDirectory->leader();
         leader && leader->id != this->peerDirectory->self().id)
       this->peerDirectory->suspectLeader(leader->id);
@@ -297,6 +298,7 @@
       this->proposeMemberAddresses();
     }
   }
+  this->watchOutage();
   this->sendHeartbeats();
   this->retryOpen();
   this->expireRelayed();
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -4,6 +4,7 @@
 
 #include "Group.h"
 #include "MembershipPlanner.h"
+#include "OutagePolicy.h"
 #include "PauseGuard.h"
 #include "ReplicaSender.h"
 #include "banyanrill/base/LatencyHistogram.h"
@@ -58,9 +59,7 @@
   std::uint64_t forwarded = 0;
   std::uint64_t peerCallsFailed = 0;
   std::uint64_t leaderships = 0;
-  std::map<std::string, base::LatencyHistogram> answerTimes; ///< By request.
-  std::map<std::string, base::LatencyHistogram> orderTimes;  ///< By order; answered ones only.
-  std::map<std::string, base::LatencyHistogram> jobTimes; ///< From acceptance to end, by outcome.
+  std::map<std::string, std::uint64_t> outageRefusals; ///< Did not run, by request.
 };
 
 struct Node::State {
@@ -99,6 +98,8 @@
   std::atomic<bool> drained = false;
   std::optional<base::TimePoint> lastLeaderContact; ///< With a leader; empty: none since the start
                                                     ///< or a suspension.
+  base::TimePoint aloneSince; ///< Start of the process, or the end of its last suspension.
+  bool inOutage = false;      ///< As logged last.
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextMembershipCheck = base::TimePoint::min();
   base::TimePoint nextMemberUpdate = base::TimePoint::min();
@@ -134,6 +135,16 @@
   void forward(OpenRequest &request, const membership::KnownLeader &leader);
   void finish(std::uint64_t id, jobs::Reply reply);
   void retryOpen();
+  /// Refuses the request if its time ends before a leader can be expected. \returns whether it did.
+  bool refuseInOutage(const OpenRequest &request);
+  /// Answers a request that no leader has decided.
+  void giveUp(const OpenRequest &request, std::string reason, std::int64_t retryAfterMs);
+  /// Time since the last contact with a leader; 0 while this node leads.
+  base::Duration withoutLeader() const;
+  /// An attempt whose refusal would deny what an earlier attempt of it may have done is in doubt.
+  static void withholdRefusal(const OpenRequest &request, jobs::Reply &reply);
+  /// Logs begin and end of an outage, and makes the node look for another leader.
+  void watchOutage();
   bool isAcknowledgedReport(const jobs::Request &request) const;
   void rememberReport(const jobs::Request &request, const jobs::Reply &reply);
   bool isReady() const;
--- a/packages/node/src/Peers.cpp
+++ b/packages/node/src/Peers.cpp
@@ -44,8 +44,12 @@
 
 void Node::State::answerPeer(http::ExchangeId exchange, const wire::ReplicaMessages &messages) {
   if (this->group) {
-    for (const consensus::Message &message : messages.messages)
+    for (const consensus::Message &message : messages.messages) {
       this->group->step(message, this->now);
+      // The replica names its last leader until its election timeout; only messages show contact.
+      if (message.from == this->group->leader() && message.term == this->group->term())
+        this->lastLeaderContact = this->now;
+    }
   }
   this->respondPeer(exchange, wire::Acknowledgement());
 }
@@ -233,8 +237,8 @@
   const bool isSelf = leader == this->group->self();
   if (leader != base::NoDaemon && (!isSelf || this->group->isLeader())) {
     this->peerDirectory->setLeader(leader, this->group->term());
-    if (!isSelf)
-      this->lastLeaderContact = this->now;
+    if (isSelf)
+      this->lastLeaderContact = this->now; // Counts once this node has lost its leadership.
   }
 }
 
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace banyanrill::node {
 
@@ -23,16 +24,9 @@
 /// Open requests of one node; further ones are refused.
 constexpr std::size_t MaxOpenRequests = 2048;
 
-/// Retry-After when there is no leader: about the duration of an election.
-constexpr std::int64_t NoLeaderRetryMs = 1000;
-
 /// Retry-After when too many requests are open.
 constexpr std::int64_t BusyRetryMs = 1000;
 
-/// A node without contact with a leader for this long reports that it is not ready, so that new
-/// callers go to other nodes.
-constexpr base::Duration LeaderContactTimeout = std::chrono::milliseconds(2500);
-
 /// Operators are redirected only to a leader heard from within this time: about three heartbeat
 /// intervals.
 constexpr base::Duration RedirectContactTimeout = std::chrono::milliseconds(1500);
@@ -50,6 +44,15 @@
          std::holds_alternative<jobs::WaveStateRequest>(request);
 }
 
+/// Whether its sender repeats the request when it is refused. Operators' changes and workers that
+/// leave do not come back soon, so they wait for a leader as long as they can.
+bool isRefusedInOutage(const jobs::Request &request) {
+  return std::holds_alternative<jobs::SubmitRequest>(request) ||
+         std::holds_alternative<jobs::StateRequest>(request) ||
+         std::holds_alternative<jobs::CancelRequest>(request) ||
+         std::holds_alternative<jobs::WorkerReport>(request);
+}
+
 /// A configuration can be too large for a node with a slow link to forward within the operator's
 /// time limit.
 bool carriesConfiguration(const jobs::Request &request) {
@@ -137,6 +140,9 @@
     });
     return;
   }
+  // Before the request is forwarded: to a leader that is silent it would only come into doubt.
+  if (this->refuseInOutage(request))
+    return;
   const std::optional<membership::KnownLeader> leader = this->peerDirectory->leader();
   if (!leader || leader->id == this->peerDirectory->self().id)
     return;
@@ -203,11 +209,13 @@
 }
 
 void Node::State::retryOpen() {
-  std::vector<std::uint64_t> ids;
-  ids.reserve(this->open.size());
+  // The caller whose time ends first is answered first.
+  std::vector<std::pair<base::TimePoint, std::uint64_t>> order;
+  order.reserve(this->open.size());
   for (const auto &[id, request] : this->open)
-    ids.push_back(id);
-  for (const std::uint64_t id : ids) {
+    order.emplace_back(request.deadline, id);
+  std::sort(order.begin(), order.end());
+  for (const auto &[deadline, id] : order) {
     const auto found = this->open.find(id);
     if (found == this->open.end())
       continue;
@@ -216,20 +224,77 @@
       this->advance(id);
       continue;
     }
-    const bool inDoubt = (request.mayHaveRun || request.inFlight) && !isReadOnly(request.request);
-    jobs::Reply reply;
-    reply.code = inDoubt ? jobs::ReplyCode::InDoubt : jobs::ReplyCode::Unavailable;
-    reply.message = "no leader answered in time";
-    reply.retryAfterMs = NoLeaderRetryMs;
-    this->finish(id, std::move(reply));
+    this->giveUp(request, "no leader answered in time",
+                 OutagePolicy::retryAfterMs(this->withoutLeader(), this->random));
   }
 }
 
+bool Node::State::refuseInOutage(const OpenRequest &request) {
+  if (!isRefusedInOutage(request.request))
+    return false;
+  const OutageDecision decision =
+      OutagePolicy::decide(this->withoutLeader(), request.deadline - this->now, this->random);
+  if (decision.hold)
+    return false;
+  ++this->metrics.outageRefusals[std::string(jobs::nameOf(request.request))];
+  this->giveUp(request, "no leader will answer in time", decision.retryAfterMs);
+  return true;
+}
+
+void Node::State::giveUp(const OpenRequest &request, std::string reason,
+                         std::int64_t retryAfterMs) {
+  const bool inDoubt = (request.mayHaveRun || request.inFlight) && !isReadOnly(request.request);
+  jobs::Reply reply;
+  reply.code = inDoubt ? jobs::ReplyCode::InDoubt : jobs::ReplyCode::Unavailable;
+  reply.message = std::move(reason);
+  reply.retryAfterMs = retryAfterMs;
+  this->finish(request.id, std::move(reply));
+}
+
+base::Duration Node::State::withoutLeader() const {
+  if (this->group && this->group->isLeader())
+    return base::Duration::zero();
+  return this->now - this->lastLeaderContact.value_or(this->aloneSince);
+}
+
+void Node::State::watchOutage() {
+  const base::Duration silence = this->withoutLeader();
+  const std::optional<membership::KnownLeader> leader = this->peerDirectory->leader();
+  // Three heartbeats without an answer: another daemon may know a successor.
+  if (silence >= RedirectContactTimeout && leader && leader->id != this->peerDirectory->self().id)
+    this->peerDirectory->suspectLeader(leader->id);
+  const bool isOutage = OutagePolicy::isOutage(silence);
+  if (std::exchange(this->inOutage, isOutage) == isOutage)
+    return;
+  std::uint64_t refused = 0;
+  for (const auto &[request, count] : this->metrics.outageRefusals)
+    refused += count;
+  if (isOutage)
+    base::logEvent(
+        base::Event::OutageBegan,
+        {{"ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count())},
+         {"contact", this->lastLeaderContact ? "lost" : "none"},
+         {"open", std::to_string(this->open.size())},
+         {"term", std::to_string(this->highestLeaderTerm)}});
+  else
+    base::logEvent(base::Event::OutageEnded, {{"refused_total", std::to_string(refused)},
+                                              {"term", std::to_string(this->highestLeaderTerm)}});
+}
+
+void Node::State::withholdRefusal(const OpenRequest &request, jobs::Reply &reply) {
+  const bool isRefusal =
+      reply.code == jobs::ReplyCode::Busy || reply.code == jobs::ReplyCode::Unavailable;
+  if (isRefusal && request.mayHaveRun && !isReadOnly(request.request))
+    reply.code = jobs::ReplyCode::InDoubt;
+}
+
 void Node::State::finish(std::uint64_t id, jobs::Reply reply) {
   const auto found = this->open.find(id);
   if (found == this->open.end())
     return;
   const OpenRequest &request = found->second;
+  withholdRefusal(request, reply);
   const std::string_view name = jobs::nameOf(request.request);
   ++this->metrics.replies[std::string(name) + '/' + std::string(jobs::nameOf(reply.code))];
   this->metrics.answerTimes[std::string(name)].note(this->now - request.received);
@@ -255,7 +320,10 @@
 bool Node::State::isReady() const {
   if (this->draining)
     return false;
-  return (this->group && this->group->isLeader()) || this->heardLeaderWithin(LeaderContactTimeout);
+  if (this->group && this->group->isLeader())
+    return true;
+  // A node that has had no contact yet cannot serve anybody.
+  return this->lastLeaderContact && !OutagePolicy::isOutage(this->withoutLeader());
 }
 
 bool Node::State::heardLeaderWithin(base::Duration duration) const {
@@ -288,6 +356,10 @@
   }
   line("leads", this->group && this->group->isLeader() ? 1 : 0);
   line("knows_leader", this->peerDirectory->leader() ? 1 : 0);
+  line("without_leader_milliseconds",
+       std::chrono::duration_cast<std::chrono::milliseconds>(this->withoutLeader()).count());
+  for (const auto &[request, count] : this->metrics.outageRefusals)
+    line(("refusals_total{cause=\"no_leader\",request=\"" + request + "\"}").c_str(), count);
   line("log_lines_dropped_total", base::droppedLogLines());
   line("term", this->group ? this->group->term() : this->highestLeaderTerm);
   for (const auto &[key, count] : this->metrics.replies) {
