--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -55,7 +55,7 @@
 
 Node::State::State(NodeOptions nodeOptions, ProtocolAdapter protocolAdapter)
     : options(std::move(nodeOptions)), adapter(std::move(protocolAdapter)), random(randomSeed()),
-      now(base::steadyNow()), suspendedMs(totalSuspensionMs()),
+      now(base::steadyNow()), aloneSince(now), suspendedMs(totalSuspensionMs()),
       callers(this->options.authorityMaxAge()) {}
 
 base::Status Node::State::start() {
@@ -252,6 +252,7 @@
     base::logEvent(base::Event::MachineWasSuspended,
                    {{"ms", std::to_string(slept - this->suspendedMs)}});
     this->lastLeaderContact.reset();
+    this->aloneSince = this->now;
     if (const auto leader = this->peerDirectory->leader();
         leader && leader->id != this->peerDirectory->self().id)
       this->peerDirectory->suspectLeader(leader->id);
@@ -304,6 +305,7 @@
       this->proposeMemberAddresses();
     }
   }
+  this->watchOutage();
   this->sendHeartbeats();
   if (this->group)
     this->keepAuthority(); // Before `retryOpen`, which answers requests that still wait as in
