--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 61> Catalogue = {{
+constexpr auto Catalogue = std::to_array<EventDefinition>({
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -103,7 +103,7 @@
     {6002, Severity::Warning, "peer_message_rejected", "A message from a peer was not valid."},
     {6003, Severity::Error, "event_handler_failed",
      "One event ended with an unexpected error; the process goes on."},
-}};
+});
 
 constexpr const char *RunLoggerName = "banyanrill.runs";
 
