Decide how long a step waits for a place near its data

A place on the rack of a step's data had a fixed bonus, and a task started on another rack at once if its own was full for a moment, although it takes 1.5 to 3 times as long there. A gang with SameRack was spread over any racks.

PlacementDelay compares the expected wait, by the expected ends of runs, with what the place saves, keeps a job in time that is in time elsewhere, and stays below 1.5 s for each step. The dispatcher asks it for steps with a data rack and for gangs with SameRack; advice names the data's rack first. The bonus follows the penalty. Runs far from the data do not make a worker look slow.

--- a/bench/dispatch.cpp
+++ b/bench/dispatch.cpp
@@ -1,11 +1,13 @@
 // Processor time of the leader's decisions: a simulated cell with the large deployment's mix of
 // jobs, advisory calls included. Each argument is a number of workers; prints one line of JSON for
-// each.
+// each. With `racks` as the only argument: what policies of waiting for the data's rack give.
 #include "FleetLoad.h"
+#include "RackLoad.h"
 
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 
 using namespace banyanrill;
 using namespace banyanrill::jobs;
@@ -37,11 +39,58 @@
   std::fflush(stdout);
 }
 
+void compareWaits(const RackLoadOptions &load) {
+  constexpr std::uint64_t Seeds = 3;
+  struct Policy {
+    const char *name;
+    HoldPolicy holds;
+  };
+  using std::chrono::milliseconds;
+  const Policy policies[] = {{"no wait", neverWait()},
+                             {"0.3 s", waitAtMost(milliseconds(300))},
+                             {"1 s", waitAtMost(milliseconds(1000))},
+                             {"1.5 s", waitAtMost(milliseconds(1500))},
+                             {"decision", decideByForecast()}};
+  for (const Policy &policy : policies) {
+    double meanMs = 0;
+    double late = 0;
+    double near = 0;
+    std::int64_t longestMs = 0;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+      RackLoadOptions options = load;
+      options.seed = seed;
+      const RackLoadResult result = runRackLoad(options, policy.holds);
+      meanMs += result.meanMs / Seeds;
+      late += result.lateShare() / Seeds;
+      near += result.nearShare / Seeds;
+      longestMs = std::max(longestMs, result.longestWaitMs);
+    }
+    std::printf("{\"penalty\": %.1f, \"utilization\": %.2f, \"busy_racks\": %zu, "
+                "\"busy_factor\": %.0f, \"policy\": \"%s\", \"mean_ms\": %.0f, "
+                "\"late_share\": %.3f, \"near_share\": %.2f, \"longest_wait_ms\": %lld}\n",
+                load.remotePenalty, load.utilization, load.busyRacks, load.busyFactor, policy.name,
+                meanMs, late, near, static_cast<long long>(longestMs));
+    std::fflush(stdout);
+  }
+}
+
+void compareWaits() {
+  for (const RackLoadOptions &load :
+       {RackLoadOptions{1, 1.5, 0.7, 6, 2}, RackLoadOptions{1, 1.5, 0.85, 6, 4},
+        RackLoadOptions{1, 1.5, 0.6, 4, 5}, RackLoadOptions{1, 1.5, 0.6, 2, 8},
+        RackLoadOptions{1, 2, 0.5, 2, 8}, RackLoadOptions{1, 3, 0.4, 2, 8}})
+    compareWaits(load);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
   constexpr double UsualLoad = 1;
   constexpr double Overload = 1.5;
+  if (argc == 2 && std::string_view(argv[1]) == "racks") {
+    compareWaits();
+    return 0;
+  }
   if (argc < 2) {
     measure(ReferenceWorkers, UsualLoad);
     return 0;
--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -7,6 +7,7 @@
 #include "banyanrill/jobs/Api.h"
 #include "banyanrill/jobs/GangDecision.h"
 #include "banyanrill/jobs/Orders.h"
+#include "banyanrill/jobs/PlacementWait.h"
 #include "banyanrill/jobs/Table.h"
 #include "banyanrill/jobs/WorkerDecision.h"
 
@@ -27,6 +28,9 @@
   base::Duration gangTimeout = std::chrono::milliseconds(3000);
   /// Ended jobs stay in the table for this long.
   base::Duration endedJobRetention = std::chrono::seconds(150);
+  /// A task away from its data, and a gang with `sameRack` on several racks, takes this many times
+  /// as long. At least 1.
+  double remotePenalty = 1.5;
 };
 
 /// Counters since the leader's term began.
@@ -45,6 +49,7 @@
   std::size_t sessions = 0;
   /// Gangs by outcome in the last complete round; `Placed` counts all that were placed.
   std::array<std::uint64_t, GangOutcomes> gangs{};
+  PlacementWaitCounters waits; ///< Of steps that were held back for a place.
 };
 
 /// How full the workers are, and what waits. Millicores over all workers that may get tasks.
@@ -101,6 +106,10 @@
   /// its placement. Bounded; the counters hold them all.
   std::vector<GangDecision> takeGangDecisions();
 
+  /// Returns the waits for a place that have ended since the last call. Bounded; the counters hold
+  /// them all.
+  std::vector<PlacementWait> takePlacementWaits();
+
   /// Returns what was concluded about workers and their runs since the last call, in order.
   /// Bounded: what does not fit is left out.
   std::vector<WorkerDecision> takeWorkerDecisions();
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -69,6 +69,7 @@
   this->begun.erase(id);
   this->adviceTracker.forgetJob(id);
   this->gangDecisions.forgetJob(id);
+  this->waits.forgetJob(id, this->now);
   this->abandonedGangs.erase(this->abandonedGangs.lower_bound({id, 0, 0}),
                              this->abandonedGangs.upper_bound({id, UINT32_MAX, UINT32_MAX}));
   if (job != nullptr)
@@ -93,8 +94,12 @@
   if (step.gang || step.longRunning || occurrence == job->occurrences.end() ||
       !occurrence->second.steps[end.run.task.step].tasks[end.run.task.index].checkpoint.empty())
     return;
-  this->speeds.note(session.incarnation.id, job->queue.name, step.estimatedMs,
-                    this->now - view->second.startedAt);
+  base::Duration took = this->now - view->second.startedAt;
+  // What the distance to the data costs says nothing about the worker.
+  if (const double factor = this->remoteFactor(step, session.worker->profile); factor > 1)
+    took = base::Duration(
+        static_cast<base::Duration::rep>(static_cast<double>(took.count()) / factor));
+  this->speeds.note(session.incarnation.id, job->queue.name, step.estimatedMs, took);
   session.slowness = this->speeds.slowness(session.incarnation.id);
 }
 
@@ -431,6 +436,10 @@
   }
   if (!dispatcher.releases.empty())
     dispatcher.actions.emplace_back(Command(ReleaseRuns{std::exchange(dispatcher.releases, {})}));
+  if (dispatcher.waits.takeDue(now)) {
+    dispatcher.planNeeded = true;
+    dispatcher.nextGangRound = std::min(dispatcher.nextGangRound, now);
+  }
   if (dispatcher.planNeeded && now >= dispatcher.nextPlan) {
     dispatcher.planNeeded = false;
     dispatcher.nextPlan = now + PlanInterval +
@@ -453,6 +462,8 @@
   return std::exchange(this->state->decisions, {});
 }
 
+std::vector<PlacementWait> Dispatcher::takePlacementWaits() { return this->state->waits.take(); }
+
 CellLoad Dispatcher::load(base::TimePoint now) const {
   State &dispatcher = *this->state;
   CellLoad load;
@@ -476,6 +487,7 @@
   counters.openSteps = this->state->queue.size();
   counters.sessions = this->state->sessions.size();
   counters.gangs = this->state->gangDecisions.lastRound();
+  counters.waits = this->state->waits.counters();
   return counters;
 }
 
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -4,6 +4,7 @@
 
 #include "AdviceTracker.h"
 #include "GangDecisions.h"
+#include "PlacementWaits.h"
 #include "SpeedTable.h"
 #include "StepQueue.h"
 #include "WorkerSession.h"
@@ -13,6 +14,9 @@
 
 namespace banyanrill::jobs {
 
+/// Maximum number of runs in one command, to keep log entries small.
+constexpr std::size_t MaxRunsPerCommand = 256;
+
 /// A run that was proposed to the log and is not yet in the table.
 struct PendingRun {
   std::string worker;
@@ -60,6 +64,10 @@
   StepQueue queue;
   AdviceTracker adviceTracker;
   GangDecisions gangDecisions;
+  PlacementWaits waits;
+  /// Room that steps wait for in this planning round, so that later ones do not count on it.
+  std::unordered_map<WorkerNumber, base::Resources> awaited;
+  std::optional<double> utilization; ///< In this planning round, once it was asked for.
   SpeedTable speeds;
   std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
@@ -165,6 +173,29 @@
   void considerAdvice(const OpenStep &open, std::uint32_t needed);
   void ask(const OpenStep &open, std::vector<std::string> workers);
 
+  // Places near data and on one rack (NearPlacing.cpp).
+  /// As `place`, for a step with a data rack. \returns how many tasks are held back for a place.
+  std::size_t placeNearData(const OpenStep &open, const std::vector<std::uint32_t> &waitingTasks,
+                            PlaceRuns &command);
+  /// Keeps only the candidates of one rack if it holds the whole gang. \returns whether the gang is
+  /// to start now, on several racks if there is none.
+  bool chooseRack(const OpenStep &open, std::vector<WorkerSession *> &candidates);
+  /// What the decision about a step depends on, without the places.
+  DelayInput delayInput(const OpenStep &open);
+  /// Share of the processors in use, of all workers that may get tasks; found once in a round.
+  double findUtilization();
+  /// Places that workers with a rack have now and soon, the soonest first; of all racks if `rack`
+  /// is empty. `perWorker`: tasks of the step that the workers have already.
+  std::vector<SlotForecast> forecastRoom(const OpenStep &open, const std::string &rack,
+                                         const std::map<std::string, std::uint32_t> &perWorker);
+  /// Workers of the data's rack that are full, expected to have room soon, and not known to be
+  /// permitted or refused yet. Precondition: the queue has advice.
+  std::vector<std::string> soonNearData(const OpenStep &open);
+  bool isOverShare(const OpenStep &open) const;
+  /// How many times as long a task takes there as near its data.
+  double remoteFactor(const Step &step, const WorkerProfile &profile) const;
+  base::Duration expectedRun(const Job &job, const Step &step, const WorkerSession &session) const;
+
   // Reservations for gangs (GangReservations.cpp).
   /// Begins a round in which gangs are placed or get reservations, if it is time for one.
   bool beginGangRound();
--- a/packages/jobs/src/GangReservations.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -63,8 +63,7 @@
   if (!session.reservation || open.job->queue.priority < session.reservation->priority)
     return room;
   const GangReservation &reservation = *session.reservation;
-  const base::Duration takes =
-      this->speeds.expected(session.slowness, open.job->queue.name, open.step->estimatedMs);
+  const base::Duration takes = this->expectedRun(*open.job, *open.step, session);
   if (!open.step->longRunning && this->now + takes <= reservation.from)
     return room;
   base::Resources later = room - reservation.amount;
@@ -124,6 +123,11 @@
 
 GangFinding Dispatcher::State::reserveForGang(const OpenStep &open) {
   std::vector<SlotForecast> forecasts = this->forecastSlots(open);
+  if (const std::string *rack = this->waits.rackOf(open.key)) {
+    std::erase_if(forecasts, [rack](const SlotForecast &forecast) {
+      return forecast.session->worker->profile.rack != *rack;
+    });
+  }
   const std::uint32_t members = open.step->count;
   const std::uint32_t wanted = members + members / SpareMemberShare;
   std::uint32_t reserved = 0;
@@ -239,16 +243,30 @@
   struct Unknown {
     const std::string *worker;
     std::uint32_t slots;
+    bool near;               ///< On the rack of the step's data.
+    std::uint32_t rackSlots; ///< Of its whole rack, for gangs that run faster on one rack.
     std::uint64_t order; ///< Random, so that concurrent calls for other steps name other workers.
   };
   std::vector<Unknown> unknown;
+  std::map<std::string, std::uint32_t> rackSlots;
   const base::Resources demand = demandOf(*open.step);
   for (auto &[id, session] : this->sessions) {
     if (!demand.fitsIn(session.worker->profile.capacity) ||
         advice.tickets.count(session.number) != 0 || advice.bad.count(session.number) != 0 ||
         !this->isEligible(open, session))
       continue;
-    unknown.push_back({&id, slotsFor(this->freeResources(session), demand), this->random.next()});
+    const std::string &rack = session.worker->profile.rack;
+    const std::uint32_t slots = slotsFor(this->freeResources(session), demand);
+    if (open.step->sameRack && !rack.empty())
+      rackSlots[rack] += slots;
+    const bool near = !open.step->dataRack.empty() && rack == open.step->dataRack;
+    unknown.push_back({&id, slots, near, 0, this->random.next()});
+  }
+  for (Unknown &candidate : unknown) {
+    if (rackSlots.empty())
+      break;
+    const auto found = rackSlots.find(this->sessions.at(*candidate.worker).worker->profile.rack);
+    candidate.rackSlots = found == rackSlots.end() ? 0 : found->second;
   }
   if (unknown.empty()) {
     advice.discoverAgain = this->now + AllNamedRecheckInterval;
@@ -259,6 +277,10 @@
                 std::max(MinAdvised, NamesPerMember * static_cast<std::size_t>(open.step->count))});
   std::partial_sort(unknown.begin(), unknown.begin() + static_cast<std::ptrdiff_t>(most),
                     unknown.end(), [](const Unknown &left, const Unknown &right) {
+                      if (left.near != right.near)
+                        return left.near;
+                      if (left.rackSlots != right.rackSlots)
+                        return left.rackSlots > right.rackSlots;
                       return left.slots != right.slots ? left.slots > right.slots
                                                        : left.order < right.order;
                     });
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -2,14 +2,12 @@
 #include "DispatcherState.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanrill::jobs {
 
 namespace {
 
-/// Maximum number of runs in one command, to keep log entries small.
-constexpr std::size_t MaxRunsPerCommand = 256;
-
 /// Maximum number of workers in one advisory call; the service accepts 100.
 constexpr std::size_t MaxAdvised = 64;
 
@@ -27,7 +25,7 @@
 /// A worker that takes 1.5 times as long or more (0.4 is about ln 1.5) gets a task only if no other
 /// worker has room.
 constexpr double MuchSlower = 0.4;
-constexpr double MuchSlowerPenalty = 2;
+constexpr double MuchSlowerPenalty = 2; // Also the scale of what a place near the data saves.
 
 /// Weight of a worker's failure rate. It is higher for gangs, which fail with any member, and for
 /// retried tasks, since attempts are limited.
@@ -43,6 +41,10 @@
 /// Weight of a worker's speed for such a step, relative to its utilization.
 constexpr double SpeedWeight = 2;
 
+bool isNear(const OpenStep &open, const WorkerSession &session) {
+  return !open.step->dataRack.empty() && session.worker->profile.rack == open.step->dataRack;
+}
+
 bool hasLabel(const WorkerProfile &profile, const std::string &label) {
   return std::find(profile.labels.begin(), profile.labels.end(), label) != profile.labels.end();
 }
@@ -101,9 +103,8 @@
   if (job == nullptr)
     return nullptr;
   const Step &step = job->spec.steps[task.step];
-  run.footprint = RunFootprint{
-      demandOf(step), this->speeds.expected(session.slowness, job->queue.name, step.estimatedMs),
-      step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning};
+  run.footprint = RunFootprint{demandOf(step), this->expectedRun(*job, step, session),
+                               step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning};
   return &*run.footprint;
 }
 
@@ -232,8 +233,8 @@
   const auto left = static_cast<double>(room.millicores - demand.millicores);
   double score =
       1.0 - left / static_cast<double>(std::max<std::int64_t>(profile.capacity.millicores, 1));
-  if (!open.step->dataRack.empty() && profile.rack == open.step->dataRack)
-    score += 2;
+  if (isNear(open, session))
+    score += MuchSlowerPenalty * std::log(this->options.remotePenalty) / MuchSlower;
   if (session.reservation && !demand.fitsIn(room - session.reservation->amount))
     score -= ReservedRoomPenalty;
   const double slowness = session.slowness;
@@ -329,11 +330,15 @@
                                   PlaceRuns &command) {
   if (members.size() != open.progress->tasks.size())
     return false;
-  const std::vector<WorkerSession *> candidates = this->candidatesFor(open);
+  std::vector<WorkerSession *> candidates = this->candidatesFor(open);
   std::size_t slots = 0;
   for (WorkerSession *session : candidates)
     slots += this->slotsIn(open, *session);
-  if (slots < members.size())
+  if (slots < members.size()) {
+    this->waits.end(open.key, WaitOutcome::GivenUp, "no_other_place", this->now);
+    return false;
+  }
+  if (open.step->sameRack && !this->chooseRack(open, candidates))
     return false;
   std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
   std::uint32_t run = 0;
@@ -387,11 +392,14 @@
     const std::string *worker;
     std::uint32_t slots;
     bool known;
+    bool near;           ///< On the rack of the step's data.
     std::uint64_t order; ///< Random, so that concurrent calls for other steps name other workers.
   };
   std::vector<Candidate> candidates;
   const base::Resources demand = demandOf(*open.step);
   const std::map<std::string, std::uint32_t> perWorker = this->tasksPerWorker(open);
+  // A place near the data that becomes free soon can only be waited for with a ticket.
+  const std::vector<std::string> soonNear = this->soonNearData(open);
   this->forEachWithRoom(demand, [&](WorkerSession &session) {
     if (!this->isEligible(open, session) || advice.bad.count(session.number) != 0)
       return;
@@ -399,14 +407,16 @@
     if (slots == 0)
       return;
     candidates.push_back({&session.incarnation.id, slots, advice.tickets.count(session.number) != 0,
-                          this->random.next()});
+                          isNear(open, session), this->random.next()});
   });
-  if (candidates.empty())
+  if (candidates.empty() && soonNear.empty())
     return;
   const std::size_t candidateCount = std::min(candidates.size(), MaxAdvised);
   std::partial_sort(
       candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(candidateCount),
       candidates.end(), [](const Candidate &left, const Candidate &right) {
+        if (left.near != right.near)
+          return left.near;
         if (left.known != right.known)
           return left.known;
         return left.slots != right.slots ? left.slots > right.slots : left.order < right.order;
@@ -422,6 +432,7 @@
     named += candidate.slots;
     knownSlots += candidate.known ? candidate.slots : 0;
   }
+  workers.insert(workers.end(), soonNear.begin(), soonNear.end());
   this->ask(open, std::move(workers));
 }
 
@@ -435,8 +446,13 @@
                                   const std::vector<std::uint32_t> &waitingTasks,
                                   PlaceRuns &command) {
   const std::size_t placedBefore = command.runs.size();
-  this->place(open, waitingTasks, command);
-  const std::size_t placed = command.runs.size() - placedBefore;
+  std::size_t held = 0;
+  if (open.step->dataRack.empty())
+    this->place(open, waitingTasks, command);
+  else
+    held = this->placeNearData(open, waitingTasks, command);
+  // Tasks that are held back have tickets for the places that they wait for.
+  const std::size_t placed = command.runs.size() - placedBefore + held;
   if (open.job->queue.advice && this->adviceTracker.hasFreeAdviser())
     this->considerAdvice(open, static_cast<std::uint32_t>(waitingTasks.size() - placed));
 }
@@ -445,6 +461,8 @@
   PlaceRuns command;
   command.term = this->options.term;
   this->byFreeProcessors.clear();
+  this->awaited.clear();
+  this->utilization.reset();
   const bool isGangRound = this->beginGangRound();
   std::size_t reservingGangs = 0;
   std::size_t position = 0;
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -70,12 +70,15 @@
     this->onEnded(worker, run, how);
   };
   observer.successAcknowledged = [this](const RunKey &run) { this->onSuccessAcknowledged(run); };
-  observer.work = [this](const std::string & /*worker*/, const RunKey &run) {
+  observer.work = [this](const std::string &worker, const RunKey &run) {
     const Step &step = this->table.findJob(run.task.job)->spec.steps[run.task.step];
-    const std::int64_t takes =
-        step.estimatedMs / 2 +
-        static_cast<std::int64_t>(this->source.below(
-            static_cast<std::uint64_t>(std::max<std::int64_t>(step.estimatedMs, 1))));
+    std::int64_t takes = step.estimatedMs / 2 +
+                         static_cast<std::int64_t>(this->source.below(static_cast<std::uint64_t>(
+                             std::max<std::int64_t>(step.estimatedMs, 1))));
+    if (this->options.runFactor > 0)
+      takes = static_cast<std::int64_t>(static_cast<double>(step.estimatedMs) *
+                                        this->options.runFactor);
+    takes = static_cast<std::int64_t>(static_cast<double>(takes) * this->slowdownOf(worker, run));
     return std::make_pair(takes, this->source.unit() < this->options.failShare);
   };
   for (std::size_t index = 0; index < this->options.workers; ++index) {
@@ -86,6 +89,8 @@
     profile.capacity = this->options.capacity;
     profile.labels = {"a", "r" + std::to_string(index / 2)};
     this->byAddress.emplace(profile.address, index);
+    if (this->options.workersPerRack > 0)
+      profile.rack = "rack" + std::to_string(index / this->options.workersPerRack);
     const double rate = 0.98 + 0.02 * this->source.unit();
     this->workers.push_back(std::make_unique<FakeWorker>(profile, rate, observer));
   }
@@ -115,6 +120,7 @@
   ++this->term;
   DispatcherOptions dispatcherOptions;
   dispatcherOptions.term = this->term;
+  dispatcherOptions.remotePenalty = this->options.remotePenalty;
   this->dispatcher = std::make_unique<Dispatcher>(this->table, dispatcherOptions,
                                                   base::RandomSource(this->source.next()),
                                                   this->clock(), this->nowMs + EpochMs);
@@ -263,6 +269,31 @@
   return this->workers[found->second].get();
 }
 
+std::string FakeCell::rackOf(const std::string &worker) const {
+  const Worker *known = this->table.findWorker(worker);
+  return known == nullptr ? std::string() : known->profile.rack;
+}
+
+double FakeCell::slowdownOf(const std::string &worker, const RunKey &run) const {
+  const Job *job = this->table.findJob(run.task.job);
+  const Step &step = job->spec.steps[run.task.step];
+  const std::string rack = this->rackOf(worker);
+  bool isRemote = !step.dataRack.empty() && rack != step.dataRack;
+  if (step.gang && step.sameRack) {
+    const Occurrence &occurrence = job->occurrences.at(run.task.occurrence);
+    for (const Task &member : occurrence.steps[run.task.step].tasks)
+      isRemote = isRemote || this->rackOf(member.worker) != rack;
+  }
+  return isRemote ? this->options.remotePenalty : 1;
+}
+
+std::vector<std::string> FakeCell::startNames() const {
+  std::vector<std::string> names;
+  for (const ObservedStart &start : this->starts)
+    names.push_back(start.name);
+  return names;
+}
+
 bool FakeCell::isPermitted(const StepKey &step, const std::string &worker) const {
   const auto own = this->options.permittedShares.find(this->table.findJob(step.job)->queue.name);
   const double share =
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -26,6 +26,10 @@
   double permittedShare = 1;
   std::map<std::string, double> permittedShares; ///< By queue, in place of the share above.
   base::Resources capacity = {8000, 8000, 0};    ///< Of each worker.
+  std::size_t workersPerRack = 0;                ///< 0: the workers name no rack.
+  double remotePenalty = 1.5;
+  double runFactor =
+      0; ///< Run time against the estimate; 0: random, from a half to one and a half.
 };
 
 /// Not thread-safe.
@@ -64,6 +68,10 @@
   std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
   base::RandomSource &random() { return this->source; }
+  std::vector<PlacementWait> takePlacementWaits() { return this->dispatcher->takePlacementWaits(); }
+
+  /// Each start so far: task, run, worker and time.
+  std::vector<std::string> startNames() const;
 
   /// Returns how many late starts no order of a leader could have prevented, so that they are not
   /// carried out.
@@ -93,6 +101,8 @@
   void commitDueCommands();
   /// Calls the dispatcher and adds the duration to `spent`.
   template <typename Function> auto timed(Function function);
+  double slowdownOf(const std::string &worker, const RunKey &run) const;
+  std::string rackOf(const std::string &worker) const;
   bool isPermitted(const StepKey &step, const std::string &worker) const;
   void execute(Action &action);
   template <typename Order, typename Answer, typename Carry, typename Report>
--- a/packages/node/include/banyanrill/node/Options.h
+++ b/packages/node/include/banyanrill/node/Options.h
@@ -29,6 +29,7 @@
   base::Duration gangTimeout = std::chrono::milliseconds(3000);
   base::Duration drainTime = std::chrono::milliseconds(4500); ///< From SIGTERM to the exit.
   base::Duration maxLease = std::chrono::milliseconds(10000);
+  double remotePenalty = 1.5; ///< As in the dispatcher's options.
 
   bool operator==(const NodeOptions &) const = default;
 };
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -219,6 +219,7 @@
   dispatcherOptions.stopGrace = this->options.stopGrace;
   dispatcherOptions.gangTimeout = this->options.gangTimeout;
   dispatcherOptions.maxLease = this->options.maxLease;
+  dispatcherOptions.remotePenalty = this->options.remotePenalty;
   dispatcherOptions.lease = std::min(dispatcherOptions.lease, this->options.maxLease);
   this->dispatcher = std::make_unique<jobs::Dispatcher>(this->group->table(), dispatcherOptions,
                                                         base::RandomSource(this->random.next()),
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -321,6 +321,9 @@
   line("workers_removed_total", leader.workersRemoved);
   line("open_steps", leader.openSteps);
   line("workers", leader.sessions);
+  line("placement_waits_total", leader.waits.begun);
+  line("placement_waits_reached_total", leader.waits.reached);
+  line("placement_waits_given_up_total", leader.waits.givenUp);
   for (std::size_t outcome = 0; outcome < jobs::GangOutcomes; ++outcome)
     text << "banyanrill_gangs{outcome=\"" << jobs::GangOutcomeNames.at(outcome) << "\"} "
          << leader.gangs.at(outcome) << '\n';
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -274,6 +274,17 @@
                     {"permitted", std::to_string(decision.permitted)},
                     {"places", std::to_string(decision.places)},
                     {"starts_in_ms", milliseconds(decision.startsIn)}});
+  for (const jobs::PlacementWait &wait : this->dispatcher->takePlacementWaits())
+    base::logEvent(
+        base::Event::PlacementWaited,
+        {{"job", wait.step.job},
+         {"occurrence", std::to_string(wait.step.occurrence)},
+         {"step", std::to_string(wait.step.step)},
+         {"queue", wait.queue},
+         {"rack", wait.rack},
+         {"outcome", wait.outcome == jobs::WaitOutcome::Reached ? "reached" : "given_up"},
+         {"reason", wait.reason},
+         {"waited_ms", milliseconds(wait.waited)}});
 }
 
 void Node::State::logLoad() {
