--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -91,6 +91,8 @@
      "The advisory service named workers for a step, or failed."},
     {3302, Severity::Info, "gang_decided", "A gang was placed, or waits, and what it waits for."},
     {3303, Severity::Info, "cell_load", "How full the workers are, and what waits for them."},
+    {3304, Severity::Info, "placement_waited",
+     "A step was held back for a place near its data or on one rack."},
     {4001, Severity::Info, "setting_changed", "A change of settings was applied."},
     {4002, Severity::Info, "configuration_in_force", "A configuration is in force."},
     {4101, Severity::Info, "key_withdrawn",
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -24,11 +24,15 @@
   std::size_t advisers = 3; ///< Daemons that can call the advisory service.
   /// Share of the workers that the advisory service permits for a step. 1: all but one per job.
   double permittedShare = 1;
-  std::map<std::string, double> permittedShares; ///< By queue, in place of the share above.
-  base::Resources capacity = {8000, 8000, 0};    ///< Of each worker.
+  std::map<std::string, double> permittedShares;    ///< By queue, in place of the share above.
+  base::Resources capacity = {8000, 8000, 0};       ///< Of each worker.
   std::optional<std::vector<Workspace>> workspaces; ///< Of the first configuration.
   /// Compares the dispatcher's use of each workspace with the table after each event.
   bool checkUse = false;
+  std::size_t workersPerRack = 0; ///< 0: the workers name no rack.
+  double remotePenalty = 1.5;
+  double runFactor =
+      0; ///< Run time against the estimate; 0: random, from a half to one and a half.
 };
 
 /// Not thread-safe.
@@ -77,6 +81,10 @@
   std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
   base::RandomSource &random() { return this->source; }
+  std::vector<PlacementWait> takePlacementWaits() { return this->dispatcher->takePlacementWaits(); }
+
+  /// Each start so far: task, run, worker and time.
+  std::vector<std::string> startNames() const;
 
   /// Returns how many late starts no order of a leader could have prevented, so that they are not
   /// carried out.
@@ -106,6 +114,8 @@
   void commitDueCommands();
   /// Calls the dispatcher and adds the duration to `spent`.
   template <typename Function> auto timed(Function function);
+  double slowdownOf(const std::string &worker, const RunKey &run) const;
+  std::string rackOf(const std::string &worker) const;
   bool isPermitted(const StepKey &step, const std::string &worker) const;
   void execute(Action &action);
   template <typename Order, typename Answer, typename Carry, typename Report>
@@ -144,8 +154,8 @@
   std::chrono::nanoseconds spent{0};
   std::map<TaskKey, TaskHistory> tasks;
   std::map<std::string, std::set<TaskKey>> runningOn;
-  std::map<std::string, base::Resources> runningFor; ///< By workspace.
-  std::map<std::string, base::Resources> peaks;      ///< The same.
+  std::map<std::string, base::Resources> runningFor;    ///< By workspace.
+  std::map<std::string, base::Resources> peaks;         ///< The same.
   std::map<std::string, base::Resources> highestLimits; ///< Of all configurations so far.
   std::int64_t nextReportMs = 0;
   bool isHealed = false; ///< Faults that are still to come are left out.
