Refuse jobs that would end too late to be of use

Cause: under a demand of more than the room the leader accepted every job. Steps turned late on their way and what they had done was thrown away; callers learnt of it only at the end.

Change: at submission AdmissionPolicy predicts when the job would start from the work of its own and more urgent queues that waits before it and the rate at which work is done, and refuses it with 429 if it would end after three times its target. AdmissionLedger keeps the sums as jobs change, so a decision costs as much as there are queues. Nothing is refused while room is free, in a leader's first 2 s, or for a job on its way into the table; width is no input. A workspace over its weight is refused earlier, and one under it, like any caller of a configuration without workspaces, only if the backlog alone makes the job end after twice the time at which it is worth nothing. Refused callers get times in the order of refusal. Until requests carry keys, the submitter's name is empty (LeaderAnswers.cpp, refuseByLoad).

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -83,6 +83,7 @@
   AdviceAnswered = 3301,
   GangDecided = 3302,
   CellLoad = 3303,
+  LoadRefusals = 3304,
   SettingChanged = 4001,
   ConfigurationInForce = 4002,
   RequestRefused = 5001,
--- a/packages/jobs/include/banyanrill/jobs/Dispatcher.h
+++ b/packages/jobs/include/banyanrill/jobs/Dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "banyanrill/base/RandomSource.h"
 #include "banyanrill/base/Time.h"
+#include "banyanrill/jobs/AdmissionPolicy.h"
 #include "banyanrill/jobs/Api.h"
 #include "banyanrill/jobs/GangDecision.h"
 #include "banyanrill/jobs/Orders.h"
@@ -60,6 +61,15 @@
   bool operator==(const CellLoad &) const = default;
 };
 
+/// Whose job is submitted, for admission.
+struct SubmittingWorkspace {
+  std::string name;        ///< Empty: none.
+  double weight = 0;       ///< Of the workspace in the configuration.
+  bool configured = false; ///< The configuration has workspaces.
+
+  bool operator==(const SubmittingWorkspace &) const = default;
+};
+
 /// Lives for one term of leadership. Not thread-safe: owned by one task.
 class Dispatcher {
 public:
@@ -74,6 +84,12 @@
   /// Called after the table has applied a batch.
   void onApplied(const CommandBatch &batch, const Effect &effect, base::TimePoint now);
 
+  /// Decides whether to accept a job that is not in the table; counts it as accepted if so. A job
+  /// that was accepted a moment ago and is not in the table yet is accepted again. Costs as much as
+  /// there are queues.
+  AdmissionDecision admit(const JobSpec &spec, const Queue &queue,
+                          const SubmittingWorkspace &workspace, base::TimePoint now);
+
   /// Called for a report that changes nothing in the table; updates the estimate of the worker's
   /// clock.
   void onWorkerReport(const WorkerReport &report, base::TimePoint now);
@@ -108,6 +124,9 @@
   /// Looks at all workers and open steps.
   CellLoad load(base::TimePoint now) const;
 
+  /// Returns the inputs of the decisions about submissions.
+  AdmissionLoad admissionLoad(base::TimePoint now) const;
+
   /// Returns the number of jobs in a queue of which no worker has confirmed a run yet.
   std::uint64_t waitingIn(const std::string &queue) const;
 
--- a/packages/jobs/src/Dispatcher.cpp
+++ b/packages/jobs/src/Dispatcher.cpp
@@ -37,7 +37,7 @@
 Dispatcher::State::State(const Table &jobTable, DispatcherOptions dispatcherOptions,
                          base::RandomSource source, base::TimePoint start, std::int64_t wallClock)
     : table(jobTable), options(dispatcherOptions), random(source), started(start), now(start),
-      wallClockMs(wallClock), queue(jobTable) {
+      wallClockMs(wallClock), queue(jobTable), admissionLedger(start) {
   for (const auto &[id, worker] : this->table.state().workers)
     this->refreshWorker(id, SessionCause::NewLeader);
   for (const auto &[id, job] : this->table.state().jobs)
@@ -48,6 +48,7 @@
   this->queue.refresh(id, this->now, this->wallClockMs);
   this->planNeeded = true;
   const Job *job = this->table.findJob(id);
+  this->admissionLedger.refresh(id, job, this->now, this->wallClockMs);
   const bool active = job != nullptr && job->phase == JobPhase::Active;
   if (active && job->started && hasEndedTasks(*job))
     this->begun.insert(id);
@@ -75,6 +76,38 @@
     this->ended.emplace(job->endedMs, id);
 }
 
+AdmissionDecision Dispatcher::State::admit(const JobSpec &spec, const Queue &queueOfJob,
+                                           const SubmittingWorkspace &workspace) {
+  const bool isEndless =
+      spec.repeatCount > 0 || std::any_of(spec.steps.begin(), spec.steps.end(),
+                                          [](const Step &step) { return step.longRunning; });
+  AdmissionDecision decision;
+  // Endless jobs have no time at which they are worth nothing, and of a job that is on its way into
+  // the table nobody may be told that it will not run.
+  if (!isEndless && !this->admissionLedger.isExpected(spec.id)) {
+    AdmissionLoad load = this->admissionLedger.load(this->speeds, this->now);
+    load.hasWorkspaces = workspace.configured;
+    AdmissionJob job;
+    job.priority = queueOfJob.priority;
+    // The shorter of both: estimates and corrections are rough, and a doubt is the caller's.
+    const double correction =
+        std::min(AdmissionLedger::correctionOf(this->speeds, queueOfJob.name), 1.0);
+    job.criticalPath =
+        std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, std::milli>(
+            correction * static_cast<double>(criticalPathMs(spec))));
+    job.target = std::chrono::milliseconds(targetDurationMs(spec, queueOfJob));
+    for (const Step &step : spec.steps)
+      job.work += static_cast<double>(step.count * step.demand.millicores * step.estimatedMs);
+    const WorkspaceShare share{workspace.weight,
+                               this->admissionLedger.acceptedPerSecond(workspace.name, this->now)};
+    decision = this->admissionPolicy.decide(job, load, workspace.name.empty() ? nullptr : &share,
+                                            this->random, this->now);
+  }
+  if (decision.isAccepted())
+    this->admissionLedger.expect(spec, queueOfJob, workspace.name, this->now);
+  return decision;
+}
+
 void Dispatcher::State::markBegun(const std::string &job) {
   if (this->waitingJobs.count(job) != 0 && this->begun.insert(job).second)
     this->refreshJob(job);
@@ -366,6 +399,12 @@
   }
 }
 
+AdmissionDecision Dispatcher::admit(const JobSpec &spec, const Queue &queue,
+                                    const SubmittingWorkspace &workspace, base::TimePoint now) {
+  this->state->now = now;
+  return this->state->admit(spec, queue, workspace);
+}
+
 void Dispatcher::onWorkerReport(const WorkerReport &report, base::TimePoint now) {
   const auto found = this->state->sessions.find(report.profile.incarnation.id);
   if (found == this->state->sessions.end() ||
@@ -417,10 +456,14 @@
     dispatcher.openDueOccurrences();
     dispatcher.forgetEndedJobs();
     dispatcher.planNeeded = true;
+    std::int64_t capacity = 0;
     for (const auto &[id, session] : dispatcher.sessions) {
       if (session.isDue(now))
         dispatcher.dirtyWorkers.insert(id);
+      if (dispatcher.mayGetTasks(session, now))
+        capacity += session.worker->profile.capacity.millicores;
     }
+    dispatcher.admissionLedger.setCapacity(capacity, now);
   }
   const std::set<std::string> dirty = std::exchange(dispatcher.dirtyWorkers, {});
   for (const std::string &id : dirty) {
@@ -471,6 +514,10 @@
   return load;
 }
 
+AdmissionLoad Dispatcher::admissionLoad(base::TimePoint now) const {
+  return this->state->admissionLedger.load(this->state->speeds, now);
+}
+
 DispatcherCounters Dispatcher::counters() const {
   DispatcherCounters counters = this->state->counters;
   counters.openSteps = this->state->queue.size();
--- a/packages/jobs/src/DispatcherState.h
+++ b/packages/jobs/src/DispatcherState.h
@@ -2,6 +2,7 @@
 // (Placing.cpp).
 #pragma once
 
+#include "AdmissionLedger.h"
 #include "AdviceTracker.h"
 #include "GangDecisions.h"
 #include "SpeedTable.h"
@@ -61,6 +62,8 @@
   AdviceTracker adviceTracker;
   GangDecisions gangDecisions;
   SpeedTable speeds;
+  AdmissionLedger admissionLedger;
+  AdmissionPolicy admissionPolicy;
   std::map<StepKey, std::map<std::uint32_t, PendingRun>> pending; ///< By step and task.
   std::unordered_map<OrderId, OrderSubject> orders;
   std::map<StepKey, std::uint32_t> abandonedGangs; ///< Runs of gangs that did not start together.
@@ -81,6 +84,8 @@
   DispatcherCounters counters;
 
   // Jobs.
+  AdmissionDecision admit(const JobSpec &spec, const Queue &queue,
+                          const SubmittingWorkspace &workspace);
   void refreshJob(const std::string &id);
   void markBegun(const std::string &job);
   void recordDuration(WorkerSession &session, const TaskEnd &end);
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -1,14 +1,13 @@
 #include "StepQueue.h"
 
+#include "banyanrill/jobs/AdmissionPolicy.h"
+
 #include <algorithm>
 
 namespace banyanrill::jobs {
 
 namespace {
 
-/// A job that ends later than this many times its aim is worth nothing any more.
-constexpr std::int64_t NoValueFactor = 3;
-
 /// A gang collects room and tickets for all its members, and the more members, the longer it takes.
 constexpr base::Duration GangLead = std::chrono::milliseconds(3000);
 constexpr base::Duration GangLeadPerMember = std::chrono::milliseconds(15);
@@ -38,12 +37,6 @@
   return milliseconds(static_cast<std::int64_t>(hasTail ? chainMs * (1 + TailShare) : chainMs));
 }
 
-std::int64_t targetDurationMs(const Job &job) {
-  return static_cast<std::int64_t>(job.queue.stretch *
-                                   static_cast<double>(criticalPathMs(job.spec))) +
-         job.queue.latencyMs;
-}
-
 /// Returns the indices of the tasks that may be placed now.
 std::vector<std::uint32_t> waitingTasks(const Job &job, const Occurrence &occurrence,
                                         std::uint32_t index) {
@@ -82,6 +75,11 @@
   return longest;
 }
 
+std::int64_t targetDurationMs(const JobSpec &spec, const Queue &queue) {
+  return static_cast<std::int64_t>(queue.stretch * static_cast<double>(criticalPathMs(spec))) +
+         queue.latencyMs;
+}
+
 void StepQueue::refresh(const std::string &id, base::TimePoint now, std::int64_t wallClockMs) {
   this->steps.erase(this->steps.lower_bound({id, 0, 0}),
                     this->steps.upper_bound({id, UINT32_MAX, UINT32_MAX}));
@@ -116,7 +114,7 @@
     due +=
         milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
   open.due = due;
-  const std::int64_t aim = targetDurationMs(job);
+  const std::int64_t aim = targetDurationMs(job.spec, job.queue);
   const base::Duration chain = remainingTime(job, key.step);
   open.latestStart = due + milliseconds(aim) - chain;
   open.latestUsefulStart = due + milliseconds(aim * NoValueFactor) - chain;
--- a/packages/jobs/src/StepQueue.h
+++ b/packages/jobs/src/StepQueue.h
@@ -59,4 +59,7 @@
 /// Milliseconds of the longest chain of a job.
 std::int64_t criticalPathMs(const JobSpec &spec);
 
+/// Milliseconds from its acceptance in which a job should end.
+std::int64_t targetDurationMs(const JobSpec &spec, const Queue &queue);
+
 } // namespace banyanrill::jobs
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -188,6 +188,16 @@
   return function();
 }
 
+AdmissionDecision FakeCell::submitIfAdmitted(JobSpec spec, Queue queue,
+                                             const SubmittingWorkspace &workspace) {
+  const AdmissionDecision decision =
+      this->timed([&] { return this->dispatcher->admit(spec, queue, workspace, this->clock()); });
+  if (decision.isAccepted())
+    this->log.emplace_back(this->nowMs + CommitMs,
+                           AcceptJob{std::move(spec), std::move(queue), workspace.name});
+  return decision;
+}
+
 void FakeCell::report(std::size_t worker) {
   FakeWorker &target = *this->workers.at(worker);
   if (!target.alive || this->links[worker].cut)
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -35,6 +35,9 @@
 
   void submit(JobSpec spec, std::uint32_t priority = 0);
   void submit(JobSpec spec, Queue queue);
+  /// Submits a job if the dispatcher admits it.
+  AdmissionDecision submitIfAdmitted(JobSpec spec, Queue queue,
+                                     const SubmittingWorkspace &workspace);
   void cancel(const std::string &job);
   void changeLeader();
   void cut(std::size_t worker, bool isCut);
@@ -58,6 +61,7 @@
   const Table &jobTable() const { return this->table; }
   DispatcherCounters counters() const { return this->dispatcher->counters(); }
   CellLoad load() const { return this->dispatcher->load(this->clock()); }
+  AdmissionLoad admissionLoad() const { return this->dispatcher->admissionLoad(this->clock()); }
   std::vector<GangDecision> takeGangDecisions() { return this->dispatcher->takeGangDecisions(); }
   std::uint64_t waiting() const { return this->dispatcher->waitingIn("queue"); }
   /// Returns the time that the dispatcher itself has used.
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -80,9 +80,35 @@
   }
   jobs::JobSpec spec = request.spec;
   spec.id = id;
+  if (std::optional<jobs::Reply> refusal = this->refuseByLoad(spec, *queue)) {
+    reply(std::move(*refusal));
+    return;
+  }
   this->proposeFor(jobs::AcceptJob{std::move(spec), *queue, {}}, std::move(reply), {});
 }
 
+std::optional<jobs::Reply> Node::State::refuseByLoad(const jobs::JobSpec &spec,
+                                                     const jobs::Queue &queue) {
+  if (!this->dispatcher)
+    return std::nullopt;
+  // The inputs of the decision about the submitter. The workspace's name and weight are filled in
+  // here once requests carry keys; without a name the job counts as one of no workspace.
+  jobs::SubmittingWorkspace workspace;
+  workspace.configured = this->group->table().state().configuration->workspaces.has_value();
+  const jobs::AdmissionDecision decision =
+      this->dispatcher->admit(spec, queue, workspace, this->now);
+  if (decision.isAccepted())
+    return std::nullopt;
+  this->metrics.countLoadRefusal(queue.name, decision.cause);
+  const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(decision.wait).count();
+  jobs::Reply refusal =
+      replyOf(jobs::ReplyCode::Busy, std::string(jobs::nameOf(decision.cause)) +
+                                         ": the job would start too late to be of use, after " +
+                                         std::to_string(waitMs) + " ms");
+  refusal.retryAfterMs = decision.retryAfterMs;
+  return refusal;
+}
+
 void Node::State::answerTyped(const jobs::StateRequest &request, const ReplyTo &reply) {
   const jobs::Table &table = this->group->table();
   std::string id;
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -60,6 +60,13 @@
   std::uint64_t peerCallsFailed = 0;
   std::uint64_t leaderships = 0;
   std::map<std::string, std::uint64_t> outageRefusals; ///< Did not run, by request.
+  /// By queue and cause; of many queues only the first by name of their own.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> loadRefusals;
+
+  void countLoadRefusal(const std::string &queue, jobs::RefusalCause cause);
+  std::map<std::string, base::LatencyHistogram> answerTimes; ///< By request.
+  std::map<std::string, base::LatencyHistogram> orderTimes;  ///< By order; answered ones only.
+  std::map<std::string, base::LatencyHistogram> jobTimes; ///< From acceptance to end, by outcome.
 };
 
 struct Node::State {
@@ -100,6 +107,7 @@
                                                     ///< or a suspension.
   base::TimePoint aloneSince; ///< Start of the process, or the end of its last suspension.
   bool inOutage = false;      ///< As logged last.
+  std::uint64_t loggedLoadRefusals = 0;
   base::TimePoint nextWake = base::TimePoint::min();
   base::TimePoint nextMembershipCheck = base::TimePoint::min();
   base::TimePoint nextMemberUpdate = base::TimePoint::min();
@@ -162,6 +170,8 @@
   void answerTyped(const jobs::DeregisterRequest &request, ReplyTo reply);
   void answerTyped(const jobs::WaveRequest &request, ReplyTo reply);
   void answerTyped(const jobs::WaveStateRequest &request, const ReplyTo &reply);
+  /// Returns the refusal of a job that would end too late to be of use.
+  std::optional<jobs::Reply> refuseByLoad(const jobs::JobSpec &spec, const jobs::Queue &queue);
   void proposeFor(jobs::Command command, ReplyTo reply, jobs::Reply success);
   void confirmFor(const ReplyTo &reply, std::function<jobs::Reply()> make);
   void onBecameLeader();
@@ -187,6 +197,7 @@
   /// and the load of the workers. Precondition: this node leads.
   void logWorkers() const;
   void logGangs() const;
+  void logLoadRefusals();
   void logLoad();
 
   // Peers.
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -35,6 +35,9 @@
 /// worker.
 constexpr base::Duration ReportRefreshInterval = std::chrono::milliseconds(4000);
 
+/// Counters of refusals by queue and cause; the other queues share one.
+constexpr std::size_t MaxRefusalCounters = 64;
+
 /// Workers whose last acknowledged report one node remembers.
 constexpr std::size_t MaxReports = 2048;
 
@@ -289,6 +292,13 @@
     reply.code = jobs::ReplyCode::InDoubt;
 }
 
+void NodeMetrics::countLoadRefusal(const std::string &queue, jobs::RefusalCause cause) {
+  std::pair<std::string, std::string> key(queue, jobs::nameOf(cause));
+  if (this->loadRefusals.size() >= MaxRefusalCounters && this->loadRefusals.count(key) == 0)
+    key.first = "other";
+  ++this->loadRefusals[key];
+}
+
 void Node::State::finish(std::uint64_t id, jobs::Reply reply) {
   const auto found = this->open.find(id);
   if (found == this->open.end())
@@ -362,6 +372,9 @@
     line(("refusals_total{cause=\"no_leader\",request=\"" + request + "\"}").c_str(), count);
   line("log_lines_dropped_total", base::droppedLogLines());
   line("term", this->group ? this->group->term() : this->highestLeaderTerm);
+  for (const auto &[key, count] : this->metrics.loadRefusals)
+    text << "banyanrill_refusals_total{cause=\"" << key.second << "\",queue=\"" << key.first
+         << "\"} " << count << '\n';
   for (const auto &[key, count] : this->metrics.replies) {
     const std::size_t slash = key.find('/');
     text << "banyanrill_replies_total{request=\"" << key.substr(0, slash) << "\",outcome=\""
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -4,7 +4,9 @@
 #include "banyanrill/base/EventLog.h"
 #include "banyanrill/base/Hash.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace banyanrill::node {
 
@@ -300,6 +302,34 @@
                   {"room_in_use", gangs(jobs::GangOutcome::RoomInUse)},
                   {"tickets_expired", gangs(jobs::GangOutcome::TicketsExpired)},
                   {"room_reserved", gangs(jobs::GangOutcome::RoomReserved)}});
+  this->logLoadRefusals();
+}
+
+void Node::State::logLoadRefusals() {
+  std::uint64_t total = 0;
+  for (const auto &[key, count] : this->metrics.loadRefusals)
+    total += count;
+  if (total == this->loggedLoadRefusals)
+    return;
+  const jobs::AdmissionLoad load = this->dispatcher->admissionLoad(this->now);
+  double inTime = 0;
+  double late = 0;
+  double arriving = 0;
+  for (const auto &[priority, work] : load.byPriority) {
+    inTime += work.inTime;
+    late += work.late;
+    arriving += work.arriving;
+  }
+  const auto whole = [](double value) { return std::to_string(std::llround(value)); };
+  base::logEvent(base::Event::LoadRefusals,
+                 {{"refused", std::to_string(total - this->loggedLoadRefusals)},
+                  {"capacity", whole(load.capacity)},
+                  {"running", whole(load.running)},
+                  {"rate", whole(load.rate)},
+                  {"arriving", whole(arriving)},
+                  {"waiting_ms", whole(inTime / std::max(load.capacity, 1.0))},
+                  {"late_ms", whole(late / std::max(load.capacity, 1.0))}});
+  this->loggedLoadRefusals = total;
 }
 
 void Node::State::updateAdvisers() {
