--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -84,6 +84,7 @@
   GangDecided = 3302,
   CellLoad = 3303,
   PlacementWaited = 3304,
+  LoadRefusals = 3305,
   SettingChanged = 4001,
   ConfigurationInForce = 4002,
   KeyWithdrawn = 4101,
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -93,6 +93,8 @@
     {3303, Severity::Info, "cell_load", "How full the workers are, and what waits for them."},
     {3304, Severity::Info, "placement_waited",
      "A step was held back for a place near its data or on one rack."},
+    {3305, Severity::Warning, "load_refusals",
+     "Jobs were refused in the last second, and the load that they would have waited for."},
     {4001, Severity::Info, "setting_changed", "A change of settings was applied."},
     {4002, Severity::Info, "configuration_in_force", "A configuration is in force."},
     {4101, Severity::Info, "key_withdrawn",
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -46,6 +46,9 @@
   void submitFor(const std::string &workspace, JobSpec spec, std::uint32_t priority = 0);
   /// Proposes a configuration with these workspaces.
   void configure(std::vector<Workspace> workspaces);
+  /// Submits a job if the dispatcher admits it.
+  AdmissionDecision submitIfAdmitted(JobSpec spec, Queue queue,
+                                     const SubmittingWorkspace &workspace);
   void cancel(const std::string &job);
   void changeLeader();
   void cut(std::size_t worker, bool isCut);
@@ -69,6 +72,7 @@
   const Table &jobTable() const { return this->table; }
   DispatcherCounters counters() const { return this->dispatcher->counters(); }
   CellLoad load() const { return this->dispatcher->load(this->clock()); }
+  AdmissionLoad admissionLoad() const { return this->dispatcher->admissionLoad(this->clock()); }
   std::vector<GangDecision> takeGangDecisions() { return this->dispatcher->takeGangDecisions(); }
   std::vector<LimitDecision> takeLimitDecisions() { return this->dispatcher->takeLimitDecisions(); }
   std::vector<WorkspaceLoad> workspaceLoads() const { return this->dispatcher->workspaceLoads(); }
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -89,6 +89,10 @@
   }
   jobs::JobSpec spec = request.spec;
   spec.id = id;
+  if (std::optional<jobs::Reply> refusal = this->refuseByLoad(spec, *queue, access.workspace)) {
+    reply(std::move(*refusal));
+    return;
+  }
   jobs::AcceptJob accept{std::move(spec), *queue, access.workspace};
   if (access.kind == jobs::AccessKind::Unrestricted)
     this->proposeFor(std::move(accept), std::move(reply), {});
@@ -96,6 +100,32 @@
     this->proposeForCaller(std::move(accept), access, id, std::move(reply));
 }
 
+std::optional<jobs::Reply> Node::State::refuseByLoad(const jobs::JobSpec &spec,
+                                                     const jobs::Queue &queue,
+                                                     const std::string &workspaceName) {
+  if (!this->dispatcher)
+    return std::nullopt;
+  const std::optional<jobs::Configuration> &configuration =
+      this->group->table().state().configuration;
+  jobs::SubmittingWorkspace workspace;
+  workspace.configured = configuration->workspaces.has_value();
+  workspace.name = workspaceName;
+  if (const jobs::Workspace *found = jobs::findWorkspace(configuration, workspaceName))
+    workspace.weight = found->weight;
+  const jobs::AdmissionDecision decision =
+      this->dispatcher->admit(spec, queue, workspace, this->now);
+  if (decision.isAccepted())
+    return std::nullopt;
+  this->metrics.countLoadRefusal(queue.name, decision.cause);
+  const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(decision.wait).count();
+  jobs::Reply refusal =
+      replyOf(jobs::ReplyCode::Busy, std::string(jobs::nameOf(decision.cause)) +
+                                         ": the job would start too late to be of use, after " +
+                                         std::to_string(waitMs) + " ms");
+  refusal.retryAfterMs = decision.retryAfterMs;
+  return refusal;
+}
+
 void Node::State::answerTyped(const jobs::StateRequest &request, const jobs::Access & /*access*/,
                               const ReplyTo &reply) {
   const jobs::Table &table = this->group->table();
