--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -90,6 +90,7 @@
   KeyWithdrawn = 4101,
   RequestRefused = 5001,
   RequestAnswered = 5002,
+  ReceiveLimitReached = 5003,
   CallersRefused = 5101,
   HttpLoopFailed = 6001,
   PeerMessageRejected = 6002,
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -101,6 +101,8 @@
      "A key no longer stands for its workspace; the digest tells which."},
     {5001, Severity::Info, "request_refused", "A caller's request was refused, with the verdict."},
     {5002, Severity::Info, "request_answered", "A request was answered, with its outcome."},
+    {5003, Severity::Warning, "receive_limit_reached",
+     "Clients hold as much as a listener may; requests are refused and connections closed."},
     {5101, Severity::Warning, "callers_refused",
      "The leader refused callers for their keys: why, and how many since the last line."},
     {6001, Severity::Error, "http_loop_failed", "The HTTP server could not start or failed."},
