Divide contended room among workspaces by weight

Steps were placed by time alone, so a workspace that sent more got more. Within each tier the planner now takes urgent steps of workspaces below their weighted share first, then their other steps, then those below the share that progressive filling gives, then the rest. Only the order changes: free room goes to anyone. Within a share, urgent work that can be in time comes before work that is late already.

--- a/bench/dispatch.cpp
+++ b/bench/dispatch.cpp
@@ -1,11 +1,12 @@
 // Processor time of the leader's decisions: a simulated cell with the large deployment's mix of
-// jobs, advisory calls included. Each argument is a number of workers; prints one line of JSON for
-// each.
+// jobs, advisory calls included. Each argument is a number of workers, or of workers and workspaces
+// as in 1100/330; prints one line of JSON for each load.
 #include "FleetLoad.h"
 
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 
 using namespace banyanrill;
 using namespace banyanrill::jobs;
@@ -17,19 +18,34 @@
 constexpr int MeasuredMs = 10000;
 constexpr std::uint64_t Seed = 1;
 
-void measure(std::size_t workers, double load) {
-  FakeCell cell(fleetOptions(Seed, workers));
+CellOptions optionsOf(std::size_t workers, std::size_t workspaces) {
+  CellOptions options = fleetOptions(Seed, workers);
+  if (workspaces > 0)
+    options.workspaces.emplace();
+  // Limits of the whole capacity: each is checked, and the work is the same for every number.
+  const base::Resources limit = FleetCapacity * static_cast<std::int64_t>(workers);
+  for (std::size_t number = 0; number < workspaces; ++number)
+    options.workspaces->push_back({"workspace" + std::to_string(number),
+                                   {"key" + std::to_string(number)},
+                                   1 + static_cast<double>(number % 7),
+                                   limit});
+  return options;
+}
+
+void measure(std::size_t workers, std::size_t workspaces, double load) {
+  FakeCell cell(optionsOf(workers, workspaces));
   cell.run(WarmUpMs);
   const std::chrono::nanoseconds spentBefore = cell.dispatcherTime();
-  FleetLoad fleet(cell, Seed);
+  FleetLoad fleet(cell, Seed, workspaces);
   fleet.setFactor(load * static_cast<double>(workers) / static_cast<double>(ReferenceWorkers));
   fleet.run(MeasuredMs);
   const std::chrono::duration<double> spent = cell.dispatcherTime() - spentBefore;
   const DispatcherCounters counters = cell.counters();
-  std::printf("{\"workers\": %zu, \"load\": %.2f, \"simulated_s\": %d, \"core_s\": %.3f, "
+  std::printf("{\"workers\": %zu, \"workspaces\": %zu, \"load\": %.2f, \"simulated_s\": %d, "
+              "\"core_s\": %.3f, "
               "\"starts\": %llu, \"renewals\": %llu, \"advice_calls\": %llu, \"open_steps\": %zu, "
               "\"us_per_start\": %.1f}\n",
-              workers, load, MeasuredMs / 1000, spent.count(),
+              workers, workspaces, load, MeasuredMs / 1000, spent.count(),
               static_cast<unsigned long long>(counters.starts),
               static_cast<unsigned long long>(counters.renewals),
               static_cast<unsigned long long>(counters.adviceCalls), counters.openSteps,
@@ -43,13 +59,19 @@
   constexpr double UsualLoad = 1;
   constexpr double Overload = 1.5;
   if (argc < 2) {
-    measure(ReferenceWorkers, UsualLoad);
+    measure(ReferenceWorkers, 0, UsualLoad);
     return 0;
   }
   for (int index = 1; index < argc; ++index) {
     const auto workers = static_cast<std::size_t>(std::max(std::atoi(argv[index]), 1));
-    measure(workers, UsualLoad);
-    measure(workers, Overload);
+    const std::string_view argument = argv[index];
+    const std::size_t slash = argument.find('/');
+    const std::size_t workspaces =
+        slash == std::string_view::npos
+            ? 0
+            : static_cast<std::size_t>(std::max(std::atoi(argv[index] + slash + 1), 0));
+    measure(workers, workspaces, UsualLoad);
+    measure(workers, workspaces, Overload);
   }
   return 0;
 }
--- a/packages/jobs/include/banyanrill/jobs/GangDecision.h
+++ b/packages/jobs/include/banyanrill/jobs/GangDecision.h
@@ -22,8 +22,8 @@
 constexpr std::size_t GangOutcomes = 7;
 
 constexpr std::array<std::string_view, GangOutcomes> GangOutcomeNames = {
-    "placed", "passed_over", "too_few_places", "room_in_use", "tickets_expired", "room_reserved",
-    "over_limit"};
+    "placed",          "passed_over",   "too_few_places", "room_in_use",
+    "tickets_expired", "room_reserved", "over_limit"};
 
 /// Thread-safe.
 constexpr std::string_view nameOf(GangOutcome outcome) {
--- a/packages/jobs/include/banyanrill/jobs/ShareLedger.h
+++ b/packages/jobs/include/banyanrill/jobs/ShareLedger.h
@@ -65,7 +65,8 @@
   bool operator==(const WorkspaceLoad &) const = default;
 };
 
-/// How far a workspace's use may grow before its steps give way to those of others.
+/// How far a workspace's use may grow before its steps give way to those of others. Does not bind a
+/// workspace that asks for no more than its filled share.
 enum class ShareBound : std::uint8_t {
   Weighted, ///< Its part of the capacity by weight, among the workspaces with work.
   Filled,   ///< The same and, by weight, its part of what the others do not ask for.
--- a/packages/jobs/src/GangReservations.cpp
+++ b/packages/jobs/src/GangReservations.cpp
@@ -135,10 +135,9 @@
       }
     }
     for (auto &[number, endings] : this->endingsByWorkspace)
-      std::sort(endings.begin(), endings.end(), [](const ExpectedEnd &left,
-                                                   const ExpectedEnd &right) {
-        return left.at < right.at;
-      });
+      std::sort(
+          endings.begin(), endings.end(),
+          [](const ExpectedEnd &left, const ExpectedEnd &right) { return left.at < right.at; });
   }
   return this->endingsByWorkspace[workspace];
 }
--- a/packages/jobs/src/Placing.cpp
+++ b/packages/jobs/src/Placing.cpp
@@ -99,9 +99,13 @@
   if (job == nullptr)
     return nullptr;
   const Step &step = job->spec.steps[task.step];
-  run.footprint = RunFootprint{
-      demandOf(step), this->speeds.expected(session.slowness, job->queue.name, step.estimatedMs),
-      step.bestEffortCpu, step.responseTargetMs > 0, step.longRunning, this->workspaceOf(*job)};
+  run.footprint =
+      RunFootprint{demandOf(step),
+                   this->speeds.expected(session.slowness, job->queue.name, step.estimatedMs),
+                   step.bestEffortCpu,
+                   step.responseTargetMs > 0,
+                   step.longRunning,
+                   this->workspaceOf(*job)};
   return &*run.footprint;
 }
 
@@ -489,16 +493,23 @@
   struct Pass {
     ShareBound bound;
     bool urgentOnly;
+    bool inTimeOnly;
   };
-  static constexpr std::array<Pass, 4> Passes = {{{ShareBound::Weighted, true},
-                                                  {ShareBound::Weighted, false},
-                                                  {ShareBound::Filled, false},
-                                                  {ShareBound::Any, false}}};
+  // The most urgent queue has no tier of late steps. A workspace that asks for more than its share
+  // would serve all of that queue by age, and so too late: what can be in time comes first.
+  static constexpr std::array<Pass, 6> Passes = {{{ShareBound::Weighted, true, true},
+                                                  {ShareBound::Weighted, false, true},
+                                                  {ShareBound::Weighted, false, false},
+                                                  {ShareBound::Filled, false, true},
+                                                  {ShareBound::Any, false, true},
+                                                  {ShareBound::Any, false, false}}};
   std::vector<const OpenStep *> left(steps.begin(), steps.end());
   for (const Pass &pass : Passes) {
     std::size_t kept = 0;
     for (const OpenStep *open : left) {
-      const bool isPassedOver = pass.urgentOnly && open->job->queue.priority > 0;
+      const bool isUrgent = open->job->queue.priority == 0;
+      const bool isPassedOver = (pass.urgentOnly && !isUrgent) ||
+                                (pass.inTimeOnly && isUrgent && this->now > open->latestStart);
       if (isPassedOver || !this->planWithin(pass.bound, *open, round))
         left[kept++] = open;
     }
--- a/packages/jobs/src/ShareLedger.cpp
+++ b/packages/jobs/src/ShareLedger.cpp
@@ -16,9 +16,8 @@
 constexpr double NoBound = std::numeric_limits<double>::infinity();
 
 using Amount = std::int64_t base::Resources::*;
-constexpr std::array<Amount, 3> Amounts = {&base::Resources::millicores,
-                                           &base::Resources::memoryMib,
-                                           &base::Resources::accelerators};
+constexpr std::array<Amount, 3> Amounts = {
+    &base::Resources::millicores, &base::Resources::memoryMib, &base::Resources::accelerators};
 
 /// As the configuration names them, in the order of `Amounts`.
 constexpr std::array<std::string_view, 3> LimitNames = {"processors", "memory", "accelerators"};
@@ -241,16 +240,17 @@
 std::uint32_t ShareLedger::placesWithin(ShareBound bound, WorkspaceNumber workspace,
                                         const base::Resources &demand, std::uint32_t most) const {
   const Entry &entry = this->entries[workspace];
-  const double share = bound == ShareBound::Weighted ? entry.weighted
-                       : bound == ShareBound::Filled ? entry.filled
-                                                     : NoBound;
+  // A workspace that gets all it asks for is never over its share.
+  const double share = bound == ShareBound::Any || entry.filled == NoBound ? NoBound
+                       : bound == ShareBound::Weighted                     ? entry.weighted
+                                                                           : entry.filled;
   if (share == NoBound)
     return most;
   const base::Resources taken = entry.use + entry.reserved;
   double places = most;
   for (const Amount each : Amounts) {
-    const double left = share * static_cast<double>(this->capacity.*each) -
-                        static_cast<double>(taken.*each);
+    const double left =
+        share * static_cast<double>(this->capacity.*each) - static_cast<double>(taken.*each);
     if (this->capacity.*each <= 0 || (left > 0 && demand.*each <= 0))
       continue;
     if (left <= 0) {
--- a/packages/jobs/src/StepQueue.cpp
+++ b/packages/jobs/src/StepQueue.cpp
@@ -142,8 +142,7 @@
         milliseconds(job.spec.firstStartMs + job.spec.intervalMs * key.occurrence - job.acceptedMs);
   open.due = due;
   const std::int64_t aim = targetDurationMs(job);
-  const base::Duration chain =
-      remainingTime(job, key.step) + this->timeOfFurtherRounds(open, job);
+  const base::Duration chain = remainingTime(job, key.step) + this->timeOfFurtherRounds(open, job);
   open.latestStart = due + milliseconds(aim) - chain;
   open.latestUsefulStart = due + milliseconds(aim * NoValueFactor) - chain;
   if (open.step->longRunning) {
--- a/packages/jobs/tests/DispatcherPropertyTest.cpp
+++ b/packages/jobs/tests/DispatcherPropertyTest.cpp
@@ -104,8 +104,8 @@
                                cell.random(), model);
       const auto priority = static_cast<std::uint32_t>(cell.random().below(3));
       if (model.workspaces)
-        cell.submitFor(std::array{"large", "small", ""}.at(cell.random().below(3)),
-                       std::move(spec), priority);
+        cell.submitFor(std::array{"large", "small", ""}.at(cell.random().below(3)), std::move(spec),
+                       priority);
       else
         cell.submit(std::move(spec), priority);
     }
--- a/packages/jobs/tests/FakeCell.cpp
+++ b/packages/jobs/tests/FakeCell.cpp
@@ -291,8 +291,34 @@
   std::vector<Action> actions = this->timed(
       [this] { return this->dispatcher->takeActions(this->clock(), this->nowMs + EpochMs); });
   this->checkUse();
-  for (Action &action : actions)
+  for (Action &action : actions) {
+    this->noteDecision(action);
     this->execute(action);
+  }
+}
+
+void FakeCell::noteDecision(const Action &action) {
+  std::string text = std::to_string(this->digest) + " " + std::to_string(this->nowMs);
+  const auto addRun = [&text](const RunKey &run, const std::string &worker) {
+    text += " " + run.task.job + "." + std::to_string(run.task.step) + "." +
+            std::to_string(run.task.index) + "." + std::to_string(run.run) + "@" + worker;
+  };
+  if (const auto *command = std::get_if<Command>(&action)) {
+    text += " command " + std::to_string(command->index());
+    if (const auto *places = std::get_if<PlaceRuns>(command)) {
+      for (const PlacedRun &placed : places->runs)
+        addRun(placed.run, placed.worker);
+    }
+  } else if (const auto *start = std::get_if<StartOrder>(&action)) {
+    addRun(start->run, start->target.worker);
+  } else if (const auto *stop = std::get_if<StopOrder>(&action)) {
+    addRun(stop->run, stop->target.worker);
+  } else if (const auto *ask = std::get_if<AdviceOrder>(&action)) {
+    text += " ask " + ask->step.job;
+    for (const std::string &worker : ask->workers)
+      text += " " + worker;
+  }
+  this->digest = base::stableHash(text);
 }
 
 FakeWorker *FakeCell::find(const OrderTarget &target, Link *&link) {
@@ -467,9 +493,9 @@
     return;
   const auto isOver = [](std::int64_t amount, std::int64_t allowed, std::int64_t ofTask) {
     constexpr double Tolerance = 0.1;
-    return allowed > 0 && static_cast<double>(amount) >
-                              static_cast<double>(allowed) * (1 + Tolerance) +
-                                  static_cast<double>(ofTask);
+    return allowed > 0 &&
+           static_cast<double>(amount) >
+               static_cast<double>(allowed) * (1 + Tolerance) + static_cast<double>(ofTask);
   };
   if (isOver(running.millicores, limit->second.millicores, demand.millicores) ||
       isOver(running.memoryMib, limit->second.memoryMib, demand.memoryMib))
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -24,8 +24,8 @@
   std::size_t advisers = 3; ///< Daemons that can call the advisory service.
   /// Share of the workers that the advisory service permits for a step. 1: all but one per job.
   double permittedShare = 1;
-  std::map<std::string, double> permittedShares; ///< By queue, in place of the share above.
-  base::Resources capacity = {8000, 8000, 0};    ///< Of each worker.
+  std::map<std::string, double> permittedShares;    ///< By queue, in place of the share above.
+  base::Resources capacity = {8000, 8000, 0};       ///< Of each worker.
   std::optional<std::vector<Workspace>> workspaces; ///< Of the first configuration.
   /// Compares the dispatcher's use of each workspace with the table after each event.
   bool checkUse = false;
@@ -76,6 +76,8 @@
   /// Returns the time that the dispatcher itself has used.
   std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
+  /// Returns a digest of all that the dispatcher decided so far.
+  std::uint64_t decisionDigest() const { return this->digest; }
   base::RandomSource &random() { return this->source; }
 
   /// Returns how many late starts no order of a leader could have prevented, so that they are not
@@ -108,6 +110,7 @@
   template <typename Function> auto timed(Function function);
   bool isPermitted(const StepKey &step, const std::string &worker) const;
   void execute(Action &action);
+  void noteDecision(const Action &action);
   template <typename Order, typename Answer, typename Carry, typename Report>
   void call(const Order &order, Carry carry, Report report, std::int64_t timeoutMs);
   FakeWorker *find(const OrderTarget &target, Link *&link);
@@ -135,6 +138,7 @@
   Table table;
   std::uint64_t lastVersion = 1;
   std::uint64_t term = 0;
+  std::uint64_t digest = 0;
   std::unique_ptr<Dispatcher> dispatcher;
   std::deque<std::pair<std::int64_t, Command>>
       log; ///< Proposed commands, each with its commit time in ms.
@@ -144,8 +148,8 @@
   std::chrono::nanoseconds spent{0};
   std::map<TaskKey, TaskHistory> tasks;
   std::map<std::string, std::set<TaskKey>> runningOn;
-  std::map<std::string, base::Resources> runningFor; ///< By workspace.
-  std::map<std::string, base::Resources> peaks;      ///< The same.
+  std::map<std::string, base::Resources> runningFor;    ///< By workspace.
+  std::map<std::string, base::Resources> peaks;         ///< The same.
   std::map<std::string, base::Resources> highestLimits; ///< Of all configurations so far.
   std::int64_t nextReportMs = 0;
   bool isHealed = false; ///< Faults that are still to come are left out.
--- a/packages/jobs/tests/FleetLoad.cpp
+++ b/packages/jobs/tests/FleetLoad.cpp
@@ -47,9 +47,9 @@
   return options;
 }
 
-FleetLoad::FleetLoad(FakeCell &fleet, std::uint64_t seed)
-    : cell(fleet), random(seed), classes(fleetClasses()), due(classes.size(), 0),
-      jobs(classes.size()) {}
+FleetLoad::FleetLoad(FakeCell &fleet, std::uint64_t seed, std::size_t workspaceCount)
+    : cell(fleet), random(seed), classes(fleetClasses()), workspaces(workspaceCount),
+      due(classes.size(), 0), jobs(classes.size()) {}
 
 std::uint32_t FleetLoad::drawWidth(const LoadClass &kind) {
   // The sum of twelve uniform numbers is close to a normal distribution.
@@ -69,7 +69,10 @@
   JobSpec spec = makeJob(id, width, kind.millicores, kind.milliseconds);
   spec.steps[0].gang = this->random.unit() < kind.gangShare;
   this->jobs.at(index).push_back({id, width});
-  this->cell.submit(std::move(spec), queueOf(kind));
+  std::string workspace;
+  if (this->workspaces > 0)
+    workspace = "workspace" + std::to_string(this->lastJob % this->workspaces);
+  this->cell.submit(std::move(spec), queueOf(kind), workspace);
 }
 
 void FleetLoad::run(std::int64_t milliseconds) {
--- a/packages/jobs/tests/FleetLoad.h
+++ b/packages/jobs/tests/FleetLoad.h
@@ -55,7 +55,8 @@
 /// Not thread-safe.
 class FleetLoad {
 public:
-  FleetLoad(FakeCell &fleet, std::uint64_t seed);
+  /// The jobs are spread over this many workspaces, named "workspace0" and so on; 0: no workspace.
+  FleetLoad(FakeCell &fleet, std::uint64_t seed, std::size_t workspaceCount = 0);
 
   /// Multiplies the rates of all classes from now on.
   void setFactor(double rateFactor) { this->factor = rateFactor; }
@@ -76,6 +77,7 @@
   FakeCell &cell;
   base::RandomSource random;
   std::vector<LoadClass> classes;
+  std::size_t workspaces;
   double factor = 1;
   std::vector<double> due;
   std::vector<std::vector<Submitted>> jobs; ///< By class.
