Show operators the limits of workspaces and refuse what can never start

Nothing said that a job waits for its workspace's limit. A job with a step that is wider than its workspace may ever run is refused with 429 and the name of the limit; until requests are authenticated the workspace is empty, so nothing is refused yet.

Measured: test_base and test_node pass.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -81,6 +81,8 @@
   AdviceAnswered = 3301,
   GangDecided = 3302,
   CellLoad = 3303,
+  WorkspaceAtLimit = 3304,
+  WorkspaceLimitLowered = 3305,
   SettingChanged = 4001,
   ConfigurationInForce = 4002,
   RequestRefused = 5001,
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<EventDefinition, 59> Catalogue = {{
+constexpr std::array<EventDefinition, 61> Catalogue = {{
     {1001, Severity::Info, "daemon_started", "The daemon has read its settings and accepts work."},
     {1002, Severity::Info, "daemon_stopping", "A graceful stop has begun."},
     {1003, Severity::Info, "daemon_stopped", "The daemon has finished its work and exits."},
@@ -88,6 +88,10 @@
      "The advisory service named workers for a step, or failed."},
     {3302, Severity::Info, "gang_decided", "A gang was placed, or waits, and what it waits for."},
     {3303, Severity::Info, "cell_load", "How full the workers are, and what waits for them."},
+    {3304, Severity::Info, "workspace_at_limit",
+     "Starts of a workspace wait for room under its limit, or do not any more."},
+    {3305, Severity::Warning, "workspace_limit_lowered",
+     "A configuration has set a workspace's limit below what it runs; nothing is stopped."},
     {4001, Severity::Info, "setting_changed", "A change of settings was applied."},
     {4002, Severity::Info, "configuration_in_force", "A configuration is in force."},
     {5001, Severity::Info, "request_refused", "A caller's request was refused, with the verdict."},
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -32,6 +32,20 @@
   return replyOf(jobs::ReplyCode::Done, reason);
 }
 
+/// Refuses a job with a step that its workspace may never start; nothing if it may start all.
+std::optional<jobs::Reply> refusalByLimit(const jobs::Table &table, const std::string &workspace,
+                                          const jobs::JobSpec &spec, double tolerance) {
+  const jobs::Workspace *found = jobs::findWorkspace(table.state().configuration, workspace);
+  if (found == nullptr)
+    return std::nullopt;
+  for (const jobs::Step &step : spec.steps) {
+    if (const auto limit = jobs::limitThatBars(*found, step, tolerance))
+      return replyOf(jobs::ReplyCode::Busy,
+                     "a step is wider than its workspace may run: limit of " + std::string(*limit));
+  }
+  return std::nullopt;
+}
+
 jobs::Reply inDoubt() { return replyOf(jobs::ReplyCode::InDoubt, "the leader lost leadership"); }
 
 } // namespace
@@ -80,7 +94,14 @@
   }
   jobs::JobSpec spec = request.spec;
   spec.id = id;
-  this->proposeFor(jobs::AcceptJob{std::move(spec), *queue, {}}, std::move(reply), {});
+  // The workspace that the request's key belongs to; empty until requests are authenticated.
+  const std::string workspace;
+  if (std::optional<jobs::Reply> refusal =
+          refusalByLimit(table, workspace, spec, jobs::DispatcherOptions().quotaTolerance)) {
+    reply(std::move(*refusal));
+    return;
+  }
+  this->proposeFor(jobs::AcceptJob{std::move(spec), *queue, workspace}, std::move(reply), {});
 }
 
 void Node::State::answerTyped(const jobs::StateRequest &request, const ReplyTo &reply) {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -190,6 +190,7 @@
         this->execute(std::move(action));
       this->logWorkers();
       this->logGangs();
+      this->logLimits();
       this->logLoad();
       this->group->work(this->now, wallClock);
     }
--- a/packages/node/src/NodeState.h
+++ b/packages/node/src/NodeState.h
@@ -176,6 +176,7 @@
   /// and the load of the workers. Precondition: this node leads.
   void logWorkers() const;
   void logGangs() const;
+  void logLimits() const;
   void logLoad();
 
   // Peers.
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -262,6 +262,63 @@
   return this->lastLeaderContact && this->now - *this->lastLeaderContact < duration;
 }
 
+namespace {
+
+/// Workspaces with metrics of their own; the others are counted together.
+constexpr std::size_t MaxNamedWorkspaces = 64;
+
+/// Returns a name as the value of a label.
+std::string escapedLabel(std::string_view name) {
+  std::string escaped;
+  for (const char c : name) {
+    if (c == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\')
+      escaped += '\\';
+    escaped += c;
+  }
+  return escaped;
+}
+
+void appendWorkspaces(std::ostringstream &text, std::vector<jobs::WorkspaceLoad> loads) {
+  std::sort(loads.begin(), loads.end(),
+            [](const jobs::WorkspaceLoad &left, const jobs::WorkspaceLoad &right) {
+              return std::pair(right.use.millicores, std::string_view(left.name)) <
+                     std::pair(left.use.millicores, std::string_view(right.name));
+            });
+  const auto append = [&text](const std::string &label, const jobs::WorkspaceLoad &load) {
+    const auto line = [&](const char *name, const char *resource, std::int64_t value) {
+      text << "banyanrill_workspace_" << name << '{' << label << ",resource=\"" << resource
+           << "\"} " << value << '\n';
+    };
+    const auto lines = [&line](const char *name, const base::Resources &amount) {
+      line(name, "millicores", amount.millicores);
+      line(name, "memory_mib", amount.memoryMib);
+      line(name, "accelerators", amount.accelerators);
+    };
+    lines("used", load.use);
+    lines("limit", load.limit);
+    text << "banyanrill_workspace_tasks_held{" << label << "} " << load.held << '\n';
+  };
+  jobs::WorkspaceLoad rest;
+  for (std::size_t index = 0; index < loads.size(); ++index) {
+    const jobs::WorkspaceLoad &load = loads[index];
+    if (index < MaxNamedWorkspaces) {
+      append("workspace=\"" + escapedLabel(load.name) + "\"", load);
+      continue;
+    }
+    rest.use = rest.use + load.use;
+    rest.limit = rest.limit + load.limit;
+    rest.held += load.held;
+  }
+  if (loads.size() > MaxNamedWorkspaces)
+    append("workspace=\"\",rest=\"true\"", rest);
+}
+
+} // namespace
+
 std::string Node::State::metricsText() const {
   std::ostringstream text;
   const auto line = [&text](const char *name, auto value) {
@@ -324,6 +381,7 @@
   for (std::size_t outcome = 0; outcome < jobs::GangOutcomes; ++outcome)
     text << "banyanrill_gangs{outcome=\"" << jobs::GangOutcomeNames.at(outcome) << "\"} "
          << leader.gangs.at(outcome) << '\n';
+  appendWorkspaces(text, this->dispatcher->workspaceLoads());
   return text.str();
 }
 
--- a/packages/node/src/WorkerOrders.cpp
+++ b/packages/node/src/WorkerOrders.cpp
@@ -276,6 +276,22 @@
                     {"starts_in_ms", milliseconds(decision.startsIn)}});
 }
 
+void Node::State::logLimits() const {
+  for (const jobs::LimitDecision &decision : this->dispatcher->takeLimitDecisions()) {
+    const bool isLowered = decision.change == jobs::LimitChange::BelowUse;
+    base::logEvent(isLowered ? base::Event::WorkspaceLimitLowered : base::Event::WorkspaceAtLimit,
+                   {{"workspace", decision.workspace},
+                    {"change", std::string(jobs::nameOf(decision.change))},
+                    {"used_millicores", std::to_string(decision.use.millicores)},
+                    {"limit_millicores", std::to_string(decision.limit.millicores)},
+                    {"used_mib", std::to_string(decision.use.memoryMib)},
+                    {"limit_mib", std::to_string(decision.limit.memoryMib)},
+                    {"used_accelerators", std::to_string(decision.use.accelerators)},
+                    {"limit_accelerators", std::to_string(decision.limit.accelerators)},
+                    {"tasks_held", std::to_string(decision.held)}});
+  }
+}
+
 void Node::State::logLoad() {
   if (this->now < this->nextLoadLog)
     return;
@@ -299,7 +315,8 @@
                   {"too_few_places", gangs(jobs::GangOutcome::TooFewPlaces)},
                   {"room_in_use", gangs(jobs::GangOutcome::RoomInUse)},
                   {"tickets_expired", gangs(jobs::GangOutcome::TicketsExpired)},
-                  {"room_reserved", gangs(jobs::GangOutcome::RoomReserved)}});
+                  {"room_reserved", gangs(jobs::GangOutcome::RoomReserved)},
+                  {"over_limit", gangs(jobs::GangOutcome::OverLimit)}});
 }
 
 void Node::State::updateAdvisers() {
