Merge the shares of workspaces

Change: the tolerance of gangs comes from the node's options, and a submission is checked against the limit of the workspace whose key it carries. Events 3306 and 3307 tell of limits.

--- a/packages/base/include/banyanrill/base/EventLog.h
+++ b/packages/base/include/banyanrill/base/EventLog.h
@@ -85,6 +85,8 @@
   CellLoad = 3303,
   PlacementWaited = 3304,
   LoadRefusals = 3305,
+  WorkspaceAtLimit = 3306,
+  WorkspaceLimitLowered = 3307,
   SettingChanged = 4001,
   ConfigurationInForce = 4002,
   KeyWithdrawn = 4101,
--- a/packages/jobs/src/ShareLedger.cpp
+++ b/packages/jobs/src/ShareLedger.cpp
@@ -240,9 +240,10 @@
 std::uint32_t ShareLedger::placesWithin(ShareBound bound, WorkspaceNumber workspace,
                                         const base::Resources &demand, std::uint32_t most) const {
   const Entry &entry = this->entries[workspace];
-  const double share = bound == ShareBound::Weighted ? entry.weighted
-                       : bound == ShareBound::Filled ? entry.filled
-                                                     : NoBound;
+  // A workspace that gets all it asks for is never over its share.
+  const double share = bound == ShareBound::Any || entry.filled == NoBound ? NoBound
+                       : bound == ShareBound::Weighted                     ? entry.weighted
+                                                                           : entry.filled;
   if (share == NoBound)
     return most;
   const base::Resources taken = entry.use + entry.reserved;
--- a/packages/jobs/tests/FakeCell.h
+++ b/packages/jobs/tests/FakeCell.h
@@ -84,6 +84,8 @@
   /// Returns the time that the dispatcher itself has used.
   std::chrono::nanoseconds dispatcherTime() const { return this->spent; }
   FakeWorker &worker(std::size_t index) { return *this->workers.at(index); }
+  /// Returns a digest of all that the dispatcher decided so far.
+  std::uint64_t decisionDigest() const { return this->digest; }
   base::RandomSource &random() { return this->source; }
   std::vector<PlacementWait> takePlacementWaits() { return this->dispatcher->takePlacementWaits(); }
 
@@ -122,6 +124,7 @@
   std::string rackOf(const std::string &worker) const;
   bool isPermitted(const StepKey &step, const std::string &worker) const;
   void execute(Action &action);
+  void noteDecision(const Action &action);
   template <typename Order, typename Answer, typename Carry, typename Report>
   void call(const Order &order, Carry carry, Report report, std::int64_t timeoutMs);
   FakeWorker *find(const OrderTarget &target, Link *&link);
@@ -149,6 +152,7 @@
   Table table;
   std::uint64_t lastVersion = 1;
   std::uint64_t term = 0;
+  std::uint64_t digest = 0;
   std::unique_ptr<Dispatcher> dispatcher;
   std::deque<std::pair<std::int64_t, Command>>
       log; ///< Proposed commands, each with its commit time in ms.
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -32,6 +32,20 @@
   return replyOf(jobs::ReplyCode::Done, reason);
 }
 
+/// Refuses a job with a step that its workspace may never start; nothing if it may start all.
+std::optional<jobs::Reply> refusalByLimit(const jobs::Table &table, const std::string &workspace,
+                                          const jobs::JobSpec &spec, double tolerance) {
+  const jobs::Workspace *found = jobs::findWorkspace(table.state().configuration, workspace);
+  if (found == nullptr)
+    return std::nullopt;
+  for (const jobs::Step &step : spec.steps) {
+    if (const auto limit = jobs::limitThatBars(*found, step, tolerance))
+      return replyOf(jobs::ReplyCode::Busy,
+                     "a step is wider than its workspace may run: limit of " + std::string(*limit));
+  }
+  return std::nullopt;
+}
+
 jobs::Reply inDoubt() { return replyOf(jobs::ReplyCode::InDoubt, "the leader lost leadership"); }
 
 } // namespace
@@ -89,7 +103,11 @@
   }
   jobs::JobSpec spec = request.spec;
   spec.id = id;
-  if (std::optional<jobs::Reply> refusal = this->refuseByLoad(spec, *queue, access.workspace)) {
+  std::optional<jobs::Reply> refusal =
+      refusalByLimit(table, access.workspace, spec, this->options.quotaTolerance);
+  if (!refusal)
+    refusal = this->refuseByLoad(spec, *queue, access.workspace);
+  if (refusal) {
     reply(std::move(*refusal));
     return;
   }
@@ -267,6 +285,7 @@
   jobs::DispatcherOptions dispatcherOptions;
   dispatcherOptions.term = this->group->term();
   dispatcherOptions.stopGrace = this->options.stopGrace;
+  dispatcherOptions.quotaTolerance = this->options.quotaTolerance;
   dispatcherOptions.gangTimeout = this->options.gangTimeout;
   dispatcherOptions.maxLease = this->options.maxLease;
   dispatcherOptions.remotePenalty = this->options.remotePenalty;
