Keep a job that was submitted again when its identifier is forgotten

Cause: the leader proposes the removal of an ended job again until it is applied. A caller who submits the identifier anew in between lost the accepted job to the second one. Found by reading.

Change: only ended jobs are removed. The test fails without the check.

--- a/packages/jobs/src/Table.cpp
+++ b/packages/jobs/src/Table.cpp
@@ -381,7 +381,8 @@
 void Table::applyOne(const ForgetJobs &command, Effect &effect) {
   for (const std::string &id : command.jobs) {
     const auto found = this->content.jobs.find(id);
-    if (found == this->content.jobs.end())
+    // The leader may propose this twice, and the identifier may have been submitted again.
+    if (found == this->content.jobs.end() || found->second.phase == JobPhase::Active)
       continue;
     this->noteForgotten(found->second, effect);
     this->content.jobs.erase(found);
--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -100,6 +100,16 @@
   CHECK(this->cell.table.findJob("job")->started);
 }
 
+/// Guards against an accepted job that is lost because its identifier was to be forgotten once more.
+TEST(Table, JobThatWasSubmittedAgainIsNotForgotten) {
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.apply(CancelJob{"job"});
+  this->cell.apply(ForgetJobs{{"job"}});
+  this->cell.accept(makeJob("job", 1, 100, 100));
+  this->cell.apply(ForgetJobs{{"job"}});
+  CHECK(this->cell.table.findJob("job") != nullptr);
+}
+
 TEST(Table, StepWaitsForTheStepsBeforeIt) {
   JobSpec spec = makeJob("job", 1, 100, 100);
   spec.steps.push_back(spec.steps[0]);
