Give the soak's callers keys and a limit

Cause: nothing outside the unit tests checked that withdrawn keys stay out and that limits hold while daemons are killed, frozen, cut off and restarted.

A withdrawn or unknown key that is accepted later than the revocation time, a valid one that is refused, and a start beyond the limit and its tolerance break the soak.

--- a/tests/soak/Machines.cpp
+++ b/tests/soak/Machines.cpp
@@ -1,5 +1,7 @@
 #include "Machines.h"
 
+#include "Keys.h"
+
 #include <array>
 #include <cerrno>
 #include <csignal>
@@ -58,6 +60,7 @@
          << this->ports.ready << "\nListenAddresses.Control=" << this->ip() << ':'
          << this->ports.control << "\nInternalPortRange=" << this->ports.peer << ','
          << this->ports.peer + 3 << "\nFaultTolerance.Machines=" << this->toleratedLosses
+         << "\nBounds.StrictRevocation=true\nBounds.RevokeMs=" << RevocationTime.count()
          << "\nAdvice=" << this->advice << "\nBootstrap=" << (firstStart ? "true" : "false")
          << "\nSeedNodes=";
     for (std::size_t seed = 0; seed < seeds.size(); ++seed)
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,13 +1,16 @@
 // soak SEED SECONDS PROGRAM [workers|grown|deployed]: runs real daemons as processes of their own,
 // injects faults from outside and checks the promises that callers and workers see: what was
 // accepted is known and ends, no task runs twice or again after an acknowledged success, and the
-// configuration is never older than one that was acknowledged. The workers are stand-ins. They
-// restart under their identifiers and are cut off soon after, carry out some orders seconds late
-// without an answer, and run some tasks for longer than a lease; with "workers", no leader changes
-// meanwhile, so that its leases and releases are put to the test. At the end as many disks are lost
-// as the cell tolerates, and all other machines lose power; then every daemon has to answer within
-// the recovery time. Exit code 1: a promise was broken; the folder with the logs is kept and named.
+// configuration is never older than one that was acknowledged. With half of the seeds there are
+// workspaces: no withdrawn or unknown key is accepted, no valid one refused, and none runs more
+// than its limit allows. The workers are stand-ins. They restart under their identifiers and are
+// cut off soon after, carry out some orders seconds late without an answer, and run some tasks for
+// longer than a lease; with "workers", no leader changes meanwhile, so that its leases and releases
+// are put to the test. At the end as many disks are lost as the cell tolerates, and all other
+// machines lose power; then every daemon has to answer within the recovery time. Exit code 1: a
+// promise was broken; the folder with the logs is kept and named.
 #include "FakePlatform.h"
+#include "Keys.h"
 #include "Machines.h"
 #include "Proxy.h"
 #include "WorkerFaults.h"
@@ -98,6 +101,12 @@
 constexpr std::uint64_t WorkerSeedOffset = 4000000;
 constexpr std::uint64_t TaskSeedOffset = 5000000;
 
+/// So have the keys. Half of the seeds have workspaces.
+constexpr std::uint64_t KeySeedOffset = 6000000;
+
+/// One in this many questions about a job carries a withdrawn key, or one that never was valid.
+constexpr std::uint64_t WithdrawnShare = 4;
+
 /// Besides the short jobs there are some whose tasks last for longer than the leader's lease.
 constexpr std::uint64_t ShortTaskMs = 150;
 constexpr std::uint64_t MinLongTaskMs = 8000;
@@ -117,6 +126,7 @@
   Soak(std::uint64_t seed, const std::string &program, CellSize cellSize)
       : size(cellSize), random(seed), diskRandom(seed + DiskSeedOffset),
         lastFaultRandom(seed + LastFaultSeedOffset), taskRandom(seed + TaskSeedOffset),
+        keyRandom(seed + KeySeedOffset), hasWorkspaces(this->keyRandom.below(2) == 0),
         isLogLarge(base::RandomSource(seed + LargeLogSeedOffset).below(2) == 0),
         workers(linkWorkers(this->users)),
         workerFaults(seed + WorkerSeedOffset, this->users, this->workers),
@@ -136,6 +146,8 @@
           std::make_unique<soak::Proxy>(machine.peerIp(), ports.peer, machine.ip(), ports.peer));
     }
     this->control = ports.control;
+    if (this->hasWorkspaces)
+      this->users.limitTasks(std::string(1, soak::LimitedPrefix), soak::LimitedTasks);
     for (std::size_t index = 0; index < SeedCount; ++index)
       this->seeds.push_back(this->machines[index]->seedAddress());
     for (const auto &machine : this->machines)
@@ -173,9 +185,9 @@
       machine->kill();
     for (std::size_t index = 0; index < this->size.machines; ++index)
       this->noteOwnEnd(index);
-    std::printf("%zu jobs accepted, %zu faults, configuration %d, %zu starts\n", this->jobs.size(),
-                this->faults + this->workerFaults.count(), this->acknowledged,
-                this->users.starts());
+    std::printf("%zu jobs accepted, %zu faults, configuration %d, %zu starts, %s\n",
+                this->jobs.size(), this->faults + this->workerFaults.count(), this->acknowledged,
+                this->users.starts(), this->hasWorkspaces ? "workspaces" : "no workspaces");
     for (const std::string &fault : this->broken)
       std::printf("broken: %s\n", fault.c_str());
     if (this->broken.empty())
@@ -213,21 +225,29 @@
 
   static http::CallResult call(http::Client &caller, const std::string &host, std::uint16_t port,
                                const std::string &method, const std::string &path,
-                               const std::string &body = {}) {
+                               const std::string &body = {}, const std::string &key = {}) {
     http::Call call;
     call.host = host;
     call.port = port;
     call.request.method = method;
     call.request.path = path;
     call.request.body = body;
+    if (!key.empty())
+      call.request.headers.emplace_back("authorization", "Bearer " + key);
     call.timeout = CallTimeout;
     return caller.call(call);
   }
 
   http::CallResult callFront(const std::string &method, const std::string &path,
-                             const std::string &body = {}) {
+                             const std::string &body = {}, const std::string &key = {}) {
     return call(*this->client, "127.0.0.1",
-                this->fronts[this->random.below(this->size.machines)]->port(), method, path, body);
+                this->fronts[this->random.below(this->size.machines)]->port(), method, path, body,
+                key);
+  }
+
+  /// Empty without workspaces.
+  std::string keyOf(const std::string &job) const {
+    return this->hasWorkspaces ? this->keys.keyOf(job) : std::string();
   }
 
   http::CallResult callControl(const std::string &method, const std::string &path,
@@ -271,7 +291,8 @@
     json next = step;
     next["Count"] = 1;
     next["After"] = {0};
-    this->submitTo(this->random.below(this->size.machines), ShortTaskMs, {step, next});
+    const bool isLimited = this->hasWorkspaces && this->keyRandom.below(2) == 0;
+    this->submitTo(this->random.below(this->size.machines), ShortTaskMs, {step, next}, isLimited);
   }
 
   void submitLongJob() {
@@ -283,23 +304,56 @@
     const std::uint64_t taskMs =
         MinLongTaskMs + this->taskRandom.below(MaxLongTaskMs - MinLongTaskMs);
     const json step = {{"Count", count}, {"Cpu", 500}, {"EstimatedMs", taskMs}};
-    this->submitTo(index, taskMs, {step});
+    this->submitTo(index, taskMs, {step}, false);
   }
 
   /// Each task takes `taskMs`; the stand-in reads it from the specification.
-  void submitTo(std::size_t index, std::uint64_t taskMs, const std::vector<json> &steps) {
-    std::array<char, 17> id = {};
-    std::snprintf(id.data(), id.size(), "%016zx", ++this->lastJob);
+  void submitTo(std::size_t index, std::uint64_t taskMs, const std::vector<json> &steps,
+                bool isLimited) {
+    std::array<char, 17> digits = {};
+    std::snprintf(digits.data(), digits.size(), "%016zx", ++this->lastJob);
+    std::string id = digits.data();
+    id.front() = isLimited ? soak::LimitedPrefix : soak::UnlimitedPrefix;
     const json body = {{"TaskSpec", std::to_string(taskMs)}, {"Steps", steps}};
+    const bool isSettled = this->isSettled(id);
     const http::CallResult result = call(*this->client, "127.0.0.1", this->fronts[index]->port(),
-                                         "POST", "/q/" + std::string(id.data()), body.dump());
+                                         "POST", "/q/" + id, body.dump(), this->keyOf(id));
     if (result.verdict == base::Verdict::Ran && result.response.status == 200)
-      this->jobs[id.data()] = {Clock::now(), false};
+      this->jobs[id] = {Clock::now(), false};
+    if (isSettled)
+      this->checkAccepted(result, id);
+  }
+
+  /// Whether the key of a job's workspace has been in force for a while.
+  bool isSettled(const std::string &id) const {
+    return this->hasWorkspaces && this->keys.isSettled(id, Clock::now(), VisibleAfter);
+  }
+
+  /// Checks the answer to a request whose key was settled when it was sent.
+  void checkAccepted(const http::CallResult &result, const std::string &id) {
+    if (result.verdict == base::Verdict::Ran &&
+        (result.response.status == 401 || result.response.status == 403))
+      this->fail("a valid key is refused with " + std::to_string(result.response.status) + ": " +
+                 id);
+  }
+
+  /// Asks about a job with a key that is not valid any more, or never was.
+  void askWithInvalidKey(const std::string &id) {
+    const std::optional<std::string> withdrawn =
+        this->keyRandom.below(2) == 0 ? std::nullopt : this->keys.withdrawn(this->keyRandom.next());
+    const std::string key = withdrawn.value_or("never-valid");
+    const bool mustBeRefused = !withdrawn || this->keys.mustBeRefused(key, Clock::now());
+    const http::CallResult result = this->callFront("GET", "/q/" + id, {}, key);
+    if (mustBeRefused && result.verdict == base::Verdict::Ran && result.response.status == 200)
+      this->fail("an invalid key is accepted: " + key);
   }
 
   bool askAbout(const std::string &id, AcceptedJob &job) {
     const bool mustBeKnown = Clock::now() - job.at > VisibleAfter;
-    const http::CallResult result = this->callFront("GET", "/q/" + id);
+    const bool isSettled = this->isSettled(id);
+    const http::CallResult result = this->callFront("GET", "/q/" + id, {}, this->keyOf(id));
+    if (isSettled)
+      this->checkAccepted(result, id);
     if (result.verdict != base::Verdict::Ran)
       return false;
     if (mustBeKnown && (result.response.status == 410 || result.response.status == 404))
@@ -318,7 +372,10 @@
       return;
     auto position = this->jobs.begin();
     std::advance(position, static_cast<std::ptrdiff_t>(this->random.below(this->jobs.size())));
-    this->askAbout(position->first, position->second);
+    if (this->hasWorkspaces && this->keyRandom.below(WithdrawnShare) == 0)
+      this->askWithInvalidKey(position->first);
+    else
+      this->askAbout(position->first, position->second);
   }
 
   bool allDone() {
@@ -349,6 +406,8 @@
                     {"Stretch", 2.0},
                     {"Advice", {{"DecideMs", 5.0}, {"PeriodMs", 0.1}, {"ValidityMs", 2000}}}}}},
                  {"Services", {{{"Name", "svc"}}}}};
+    if (this->hasWorkspaces)
+      body["Tenants"] = this->keys.nextWorkspaces(this->keyRandom.below(2) == 0);
     json route = body["Routes"][0];
     for (std::size_t extra = 0; extra < this->extraRoutes; ++extra) {
       const std::string number = std::to_string(extra);
@@ -361,6 +420,8 @@
       return false;
     this->acknowledged = this->lastVersion;
     this->acknowledgedAt = Clock::now();
+    if (this->hasWorkspaces)
+      this->keys.onAcknowledged(this->acknowledgedAt);
     return true;
   }
 
@@ -621,8 +682,8 @@
           isConfigured ||
           isVersion(this->callControlOf(index, *ownClient, "GET", "/v1/config"), version);
       if (!isJobKnown) {
-        const http::CallResult result =
-            call(*ownClient, "127.0.0.1", this->fronts[index]->port(), "GET", "/q/" + job);
+        const http::CallResult result = call(*ownClient, "127.0.0.1", this->fronts[index]->port(),
+                                             "GET", "/q/" + job, {}, this->keyOf(job));
         isJobKnown = result.verdict == base::Verdict::Ran && result.response.status == 200;
       }
       const auto taken = std::chrono::duration_cast<milliseconds>(Clock::now() - back);
@@ -645,6 +706,9 @@
   base::RandomSource diskRandom;
   base::RandomSource lastFaultRandom;
   base::RandomSource taskRandom;
+  base::RandomSource keyRandom;
+  const bool hasWorkspaces;
+  soak::Keys keys;
   const bool isLogLarge; ///< Before the last fault.
   std::filesystem::path folder;
   platform::test::FakePlatform users{Workers};
