--- a/packages/jobs/src/NearPlacing.cpp
+++ b/packages/jobs/src/NearPlacing.cpp
@@ -59,8 +59,10 @@
       static_cast<base::Duration::rep>(static_cast<double>(usual.count()) * factor));
 }
 
-bool Dispatcher::State::isOverShare(const OpenStep & /*open*/) const {
-  return false; // Workspaces have no shares yet.
+bool Dispatcher::State::isOverShare(const OpenStep &open) const {
+  return this->ledger.hasWorkspaces() &&
+         this->ledger.placesWithin(ShareBound::Filled, open.workspace, demandOf(*open.step), 1) ==
+             0;
 }
 
 double Dispatcher::State::findUtilization() {
