Close connections whose caller sends on without reading, and mend texts

Change: a caller that has sent more than its request when the answer is ready is closed after it. Texts that were wrong about the code, or said twice what is one thing, are mended; labels of metrics are escaped in one place.

--- a/bench/dispatch.cpp
+++ b/bench/dispatch.cpp
@@ -1,5 +1,4 @@
 // Processor time of the leader's decisions: a simulated cell with the large deployment's mix of
-// Processor time of the leader's decisions: a simulated cell with the large deployment's mix of
 // jobs, advisory calls included. Each argument is a number of workers, or of workers and workspaces
 // as in 1100/330; prints one line of JSON for each load. With `racks` as the only argument: what
 // policies of waiting for the data's rack give.
--- a/packages/base/src/EventLog.cpp
+++ b/packages/base/src/EventLog.cpp
@@ -28,7 +28,8 @@
      "This daemon knows the leader and passes requests to it."},
     {1009, Severity::Warning, "leader_unknown", "This daemon knows no leader that answers."},
     {1010, Severity::Warning, "outage_began",
-     "No leader was heard for longer than an election takes; requests are refused at once."},
+     "No leader was heard for longer than an election takes; submissions, job requests and reports "
+     "that cannot be served in time are refused."},
     {1011, Severity::Info, "outage_ended", "A leader was heard again; requests are served."},
     {2001, Severity::Info, "became_leader", "This replica was elected leader."},
     {2002, Severity::Info, "lost_leadership", "This replica is no longer the leader."},
--- a/packages/http/src/Server.cpp
+++ b/packages/http/src/Server.cpp
@@ -76,6 +76,12 @@
   return poll(&event, 1, 0) > 0 && (event.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+/// True if the caller has sent more than its request, or closed its side, before the answer.
+bool hasMoreInput(lws *wsi) {
+  pollfd event = {lws_get_socket_fd(wsi), POLLIN, 0};
+  return poll(&event, 1, 0) > 0;
+}
+
 std::string_view reasonPhrase(int status) {
   switch (status) {
   case 200:
@@ -374,7 +380,9 @@
   const auto found = this->exchanges.find(exchange);
   if (found == this->exchanges.end() || found->second->response)
     return;
-  if (this->closing || this->draining)
+  // While an answer waits to be read, libwebsockets polls for the input behind it in a busy loop,
+  // so that callers who send on without reading would take the whole thread.
+  if (this->closing || this->draining || hasMoreInput(found->second->wsi))
     found->second->closeAfterResponse = true;
   this->send(*found->second, this->admitAnswer(exchange, std::move(response)));
 }
@@ -624,8 +632,11 @@
   this->logLimits(connection.listener);
   const std::string &method = connection.request.method;
   if (method == "GET" || method == "HEAD")
-    return refusalOf(503, "limit-reached", "Clients do not read their answers.");
-  return refusalOf(504, "limit-reached", "Clients do not read their answers.", "may-have-run");
+    return refusalOf(503, "limit-reached",
+                     "The answer does not fit into the memory for this listener's clients.");
+  return refusalOf(504, "limit-reached",
+                   "The answer does not fit into the memory for this listener's clients.",
+                   "may-have-run");
 }
 
 std::vector<ReceiveUsage> Server::receiveUsage() const {
--- a/packages/jobs/include/banyanrill/jobs/AdmissionPolicy.h
+++ b/packages/jobs/include/banyanrill/jobs/AdmissionPolicy.h
@@ -14,7 +14,7 @@
 enum class RefusalCause : std::uint8_t {
   None,      ///< It is accepted.
   Load,      ///< It would end too late to be of use.
-  OverShare, ///< The same, and its workspace submits more than it is owed.
+  OverShare, ///< Its workspace is over its weight, and the wait over half the slack.
 };
 
 /// For logs and counters.
--- a/packages/jobs/include/banyanrill/jobs/Model.h
+++ b/packages/jobs/include/banyanrill/jobs/Model.h
@@ -79,7 +79,7 @@
   bool operator==(const Queue &) const = default;
 };
 
-/// A group of callers with a quota of its own, identified by its keys.
+/// A group of callers with a quota; the name identifies it, its keys its callers.
 struct Workspace {
   std::string name;
   std::vector<std::string> keys;
--- a/packages/jobs/src/ShareLedger.cpp
+++ b/packages/jobs/src/ShareLedger.cpp
@@ -19,7 +19,7 @@
 constexpr std::array<Amount, 3> Amounts = {
     &base::Resources::millicores, &base::Resources::memoryMib, &base::Resources::accelerators};
 
-/// As the configuration names them, in the order of `Amounts`.
+/// For messages to callers, in the order of `Amounts`.
 constexpr std::array<std::string_view, 3> LimitNames = {"processors", "memory", "accelerators"};
 
 std::int64_t widened(std::int64_t limit, double tolerance) {
--- a/packages/node/src/CallerAuthority.cpp
+++ b/packages/node/src/CallerAuthority.cpp
@@ -2,6 +2,7 @@
 // leader accepts a withdrawn key.
 #include "CallerAuthority.h"
 
+#include "MetricLabel.h"
 #include "NodeState.h"
 #include "banyanrill/base/EventLog.h"
 
@@ -77,16 +78,6 @@
   return std::nullopt;
 }
 
-std::string labelValue(std::string_view text) {
-  std::string escaped;
-  for (const char character : text) {
-    if (character == '"' || character == '\\')
-      escaped += '\\';
-    escaped += character == '\n' ? ' ' : character;
-  }
-  return escaped;
-}
-
 } // namespace
 
 WorkspaceCounters &CallerAuthority::countersOf(const std::string &workspace) {
@@ -100,7 +91,7 @@
 std::string CallerAuthority::metricsText() const {
   std::ostringstream text;
   for (const auto &[name, counters] : this->workspaces) {
-    const std::string label = "{workspace=\"" + labelValue(name) + "\"} ";
+    const std::string label = "{workspace=\"" + escapeLabelValue(name) + "\"} ";
     text << "banyanrill_workspace_requests_total" << label << counters.served << '\n'
          << "banyanrill_workspace_foreign_total" << label << counters.foreign << '\n';
   }
--- a/packages/node/src/LeaderAnswers.cpp
+++ b/packages/node/src/LeaderAnswers.cpp
@@ -41,7 +41,8 @@
   for (const jobs::Step &step : spec.steps) {
     if (const auto limit = jobs::limitThatBars(*found, step, tolerance))
       return replyOf(jobs::ReplyCode::Busy,
-                     "a step is wider than its workspace may run: limit of " + std::string(*limit));
+                     "a step can never start: it needs more than the limit of its workspace, in " +
+                         std::string(*limit));
   }
   return std::nullopt;
 }
@@ -137,9 +138,12 @@
   this->metrics.countLoadRefusal(queue.name, decision.cause);
   const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(decision.wait).count();
   jobs::Reply refusal =
-      replyOf(jobs::ReplyCode::Busy, std::string(jobs::nameOf(decision.cause)) +
-                                         ": the job would start too late to be of use, after " +
-                                         std::to_string(waitMs) + " ms");
+      replyOf(jobs::ReplyCode::Busy,
+              std::string(jobs::nameOf(decision.cause)) +
+                  (decision.cause == jobs::RefusalCause::OverShare
+                       ? ": the workspace submits more than its weight allows; predicted wait "
+                       : ": the job would end too late to be of use; predicted wait ") +
+                  std::to_string(waitMs) + " ms");
   refusal.retryAfterMs = decision.retryAfterMs;
   return refusal;
 }
--- /dev/null
+++ b/packages/node/src/MetricLabel.h
@@ -0,0 +1,24 @@
+// Values of labels in the text format of the metrics.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace banyanrill::node {
+
+/// Returns the text as a label's value, without the quotes around it. Pure and thread-safe.
+inline std::string escapeLabelValue(std::string_view text) {
+  std::string escaped;
+  for (const char character : text) {
+    if (character == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\')
+      escaped += '\\';
+    escaped += character;
+  }
+  return escaped;
+}
+
+} // namespace banyanrill::node
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -1,6 +1,7 @@
 // Requests from callers, workers and operators. The leader answers them itself; other nodes forward
 // them to the leader and retry until it answers or the caller's deadline passes. All requests are
 // idempotent, because jobs, configurations and reports carry their own identity.
+#include "MetricLabel.h"
 #include "NodeState.h"
 #include "ReplicaTiming.h"
 #include "banyanrill/base/EventLog.h"
@@ -392,21 +393,6 @@
 /// Workspaces with metrics of their own; the others are counted together.
 constexpr std::size_t MaxNamedWorkspaces = 64;
 
-/// Returns a name as the value of a label.
-std::string escapedLabel(std::string_view name) {
-  std::string escaped;
-  for (const char c : name) {
-    if (c == '\n') {
-      escaped += "\\n";
-      continue;
-    }
-    if (c == '"' || c == '\\')
-      escaped += '\\';
-    escaped += c;
-  }
-  return escaped;
-}
-
 void appendWorkspaces(std::ostringstream &text, std::vector<jobs::WorkspaceLoad> loads) {
   std::sort(loads.begin(), loads.end(),
             [](const jobs::WorkspaceLoad &left, const jobs::WorkspaceLoad &right) {
@@ -431,7 +417,7 @@
   for (std::size_t index = 0; index < loads.size(); ++index) {
     const jobs::WorkspaceLoad &load = loads[index];
     if (index < MaxNamedWorkspaces) {
-      append("workspace=\"" + escapedLabel(load.name) + "\"", load);
+      append("workspace=\"" + escapeLabelValue(load.name) + "\"", load);
       continue;
     }
     rest.use = rest.use + load.use;
@@ -490,8 +476,8 @@
   line("log_lines_dropped_total", base::droppedLogLines());
   line("term", this->group ? this->group->term() : this->highestLeaderTerm);
   for (const auto &[key, count] : this->metrics.loadRefusals)
-    text << "banyanrill_refusals_total{cause=\"" << key.second << "\",queue=\"" << key.first
-         << "\"} " << count << '\n';
+    text << "banyanrill_refusals_total{cause=\"" << key.second << "\",queue=\""
+         << escapeLabelValue(key.first) << "\"} " << count << '\n';
   for (const auto &[key, count] : this->metrics.replies) {
     const std::size_t slash = key.find('/');
     text << "banyanrill_replies_total{request=\"" << key.substr(0, slash) << "\",outcome=\""
--- a/tests/crowd/Crowd.cpp
+++ b/tests/crowd/Crowd.cpp
@@ -54,7 +54,8 @@
 /// Longest wait for the daemon to give memory back.
 constexpr std::chrono::seconds MaxRestTime(20);
 
-/// Bodies of the largest legal size of each listener, and as many of them as hold 80 to 96 MB.
+/// Bodies of the sizes that docs/hard-load.md permits, and as many of them as hold 80 to 96 MB. The
+/// limits of the listeners are 1, 4 and 10 MiB.
 struct Legal {
   std::size_t bytes;
   std::size_t connections;
