--- a/packages/jobs/tests/TableTest.cpp
+++ b/packages/jobs/tests/TableTest.cpp
@@ -100,7 +100,8 @@
   CHECK(this->cell.table.findJob("job")->started);
 }
 
-/// Guards against an accepted job that is lost because its identifier was to be forgotten once more.
+/// Guards against an accepted job that is lost because its identifier was to be forgotten once
+/// more.
 TEST(Table, JobThatWasSubmittedAgainIsNotForgotten) {
   this->cell.accept(makeJob("job", 1, 100, 100));
   this->cell.apply(CancelJob{"job"});
--- a/packages/node/include/banyanrill/node/Options.h
+++ b/packages/node/include/banyanrill/node/Options.h
@@ -31,7 +31,7 @@
   base::Duration maxLease = std::chrono::milliseconds(10000);
   std::size_t memoryBytes = 0; ///< That the process may use; 0: not known.
   std::size_t descriptors = 0; ///< That the process may open; 0: not known.
-  double remotePenalty = 1.5; ///< As in the dispatcher's options.
+  double remotePenalty = 1.5;  ///< As in the dispatcher's options.
 
   /// Whether a withdrawn key is out everywhere after `revocationTime`, also at nodes that are cut
   /// off; without it, after `configurationTime` at nodes in touch.
