Keep the bound on labelled workspaces in one place

Cause: the counters of requests and the metrics of use each had a constant of 64 for the same bound.

Change: MaxLabelledWorkspaces in MetricLabel.h serves both. Behaviour is the same.

The other test programs were not run again.

--- a/packages/node/src/CallerAuthority.cpp
+++ b/packages/node/src/CallerAuthority.cpp
@@ -28,8 +28,7 @@
 /// Requests that wait for a round; further ones are given back at once.
 constexpr std::size_t MaxAuthorityWaiters = 4096;
 
-/// Workspaces with counters of their own; the others share one set.
-constexpr std::size_t MaxCountedWorkspaces = 64;
+/// Label of the workspaces that have no metrics of their own.
 constexpr const char *OtherWorkspaces = "(others)";
 
 /// Between two log lines about refusals of one kind.
@@ -85,7 +84,7 @@
   if (found != this->workspaces.end())
     return found->second;
   return this
-      ->workspaces[this->workspaces.size() < MaxCountedWorkspaces ? workspace : OtherWorkspaces];
+      ->workspaces[this->workspaces.size() < MaxLabelledWorkspaces ? workspace : OtherWorkspaces];
 }
 
 std::string CallerAuthority::metricsText() const {
--- a/packages/node/src/Requests.cpp
+++ b/packages/node/src/Requests.cpp
@@ -390,9 +390,6 @@
 
 namespace {
 
-/// Workspaces with metrics of their own; the others are counted together.
-constexpr std::size_t MaxNamedWorkspaces = 64;
-
 void appendWorkspaces(std::ostringstream &text, std::vector<jobs::WorkspaceLoad> loads) {
   std::sort(loads.begin(), loads.end(),
             [](const jobs::WorkspaceLoad &left, const jobs::WorkspaceLoad &right) {
@@ -416,7 +413,7 @@
   jobs::WorkspaceLoad rest;
   for (std::size_t index = 0; index < loads.size(); ++index) {
     const jobs::WorkspaceLoad &load = loads[index];
-    if (index < MaxNamedWorkspaces) {
+    if (index < MaxLabelledWorkspaces) {
       append("workspace=\"" + escapeLabelValue(load.name) + "\"", load);
       continue;
     }
@@ -424,7 +421,7 @@
     rest.limit = rest.limit + load.limit;
     rest.held += load.held;
   }
-  if (loads.size() > MaxNamedWorkspaces)
+  if (loads.size() > MaxLabelledWorkspaces)
     append("workspace=\"\",rest=\"true\"", rest);
 }
 
